feat: lay out the workspace with the shared types and typed calls

Cause: the repository is empty; every package needs the names, versions, tables, evidence and outcomes, and a way to call another process of ours. Conclusion: the packages can be built side by side on these types.

--- /dev/null
+++ b/trefoillock-caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/trefoillock-core/src/evidence.rs
@@ -0,0 +1,113 @@
+//! Counts of call outcomes that speak for or against a version.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use trefoillock_macros::data;
+
+use crate::{LatencySketch, MoveId};
+
+/// What was seen of the calls that one pool took.
+#[data]
+#[derive(Default)]
+pub struct PoolEvidence {
+    /// Calls that ended in any way but a refusal before running.
+    pub calls: u64,
+    /// Calls that failed: a server error, a broken connection or a timeout.
+    pub failures: u64,
+    /// Answers that were cut in mid-body; they count as failures too.
+    pub aborted: u64,
+    /// Connections lost together with the process of the backend server.
+    pub crashes: u64,
+    /// Calls that were refused before running; they speak of load, not of the version.
+    pub refused: u64,
+    /// Latencies of the calls that were answered in full.
+    pub latency: LatencySketch,
+}
+
+impl PoolEvidence {
+    /// Adds the counts of other calls.
+    pub fn merge(&mut self, other: &Self) {
+        self.calls = self.calls.saturating_add(other.calls);
+        self.failures = self.failures.saturating_add(other.failures);
+        self.aborted = self.aborted.saturating_add(other.aborted);
+        self.crashes = self.crashes.saturating_add(other.crashes);
+        self.refused = self.refused.saturating_add(other.refused);
+        self.latency.merge(&other.latency);
+    }
+
+    /// Counts a call that was answered in full.
+    pub fn record_answer(&mut self, latency: Duration) {
+        self.calls += 1;
+        self.latency.record(latency);
+    }
+
+    /// Counts a call that failed.
+    pub const fn record_failure(&mut self) {
+        self.calls += 1;
+        self.failures += 1;
+    }
+
+    /// Whether nothing was counted.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.calls == 0 && self.refused == 0 && self.crashes == 0
+    }
+}
+
+/// What was seen of both pools of a move, over the same time and the same routes.
+#[data]
+#[derive(Default)]
+pub struct MoveEvidence {
+    /// The step of the move at which the calls were assigned to a pool.
+    pub step: u32,
+    /// Calls that the old pool took.
+    pub old: PoolEvidence,
+    /// Calls that the new pool took.
+    pub new: PoolEvidence,
+    /// Nodes that cut the share of the new pool to zero on their own evidence.
+    pub local_cuts: u32,
+}
+
+impl MoveEvidence {
+    /// Adds the evidence of other calls of the same move.
+    ///
+    /// Evidence of an older step than the one held is dropped; evidence of a newer step
+    /// replaces what is held.
+    pub fn merge(&mut self, other: &Self) {
+        if other.step < self.step {
+            return;
+        }
+        if other.step > self.step {
+            *self = Self {
+                step: other.step,
+                ..Self::default()
+            };
+        }
+        self.old.merge(&other.old);
+        self.new.merge(&other.new);
+        self.local_cuts = self.local_cuts.saturating_add(other.local_cuts);
+    }
+}
+
+/// Evidence on all moves that a sender has calls for.
+#[data]
+#[derive(Default)]
+pub struct Evidence {
+    /// The evidence by move.
+    pub moves: BTreeMap<MoveId, MoveEvidence>,
+}
+
+impl Evidence {
+    /// Adds the evidence of other calls.
+    pub fn merge(&mut self, other: &Self) {
+        for (id, evidence) in &other.moves {
+            self.moves.entry(*id).or_default().merge(evidence);
+        }
+    }
+
+    /// Whether nothing was counted.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.moves.is_empty()
+    }
+}
--- /dev/null
+++ b/trefoillock-core/src/lib.rs
@@ -0,0 +1,61 @@
+//! The shared vocabulary of trefoillock: names, versions, tables, moves, members, evidence,
+//! outcomes and errors.
+//!
+//! This package stands at the bottom of the workspace. It does no I/O, reads no clock and
+//! depends on no other package of the workspace but the derive macro; every other package
+//! depends on it.
+//!
+//! ```
+//! use trefoillock_core::{RawTables, Tables};
+//!
+//! let json = r#"{
+//!   "routes": [{ "name": "positions", "match": { "path_prefix": "/positions" },
+//!                "class": "lookup", "pool": "desk-v1", "timeout_ms": 800 }],
+//!   "pools": [{ "name": "desk-v1", "service": "treaty-desk", "version": "1" }]
+//! }"#;
+//! let tables = Tables::try_from(RawTables::from_json(json)?)?;
+//! assert_eq!(tables.routes().len(), 1);
+//! # Ok::<(), trefoillock_core::TableErrors>(())
+//! ```
+
+mod collections;
+mod config;
+mod edit;
+mod error;
+mod evidence;
+mod guard;
+mod latency_sketch;
+mod member;
+mod moves;
+mod name;
+mod outcome;
+mod pool;
+mod raw_tables;
+mod route;
+mod share;
+mod tables;
+mod timestamp;
+mod version;
+
+pub use collections::{Map, SeededMap, SeededSet, Set};
+pub use config::{Config, ConfigDelta, ConfigError, MoveShare};
+pub use edit::{Edit, EditAnswer, EditConflict, EditRefusal, TablesDiff};
+pub use error::{Error, Peer, Step};
+pub use evidence::{Evidence, MoveEvidence, PoolEvidence};
+pub use guard::{GUARD_SLOTS, GUARDS_PER_SLOT, Guard, GuardSet, GuardSlot, GuardTable};
+pub use latency_sketch::LatencySketch;
+pub use member::{Announcement, CrashReport, Fingerprint, Member, MemberState, Members, ServerId};
+pub use moves::{HoldReason, Move, MoveEnd, MoveState, MoveStep, RiskReason};
+pub use name::{
+    DataCentre, EditId, HostName, NameError, NodeId, PoolName, Region, RouteName, ServiceName,
+    VersionLabel,
+};
+pub use outcome::{Outcome, RefusalReason, headers};
+pub use pool::{Pool, PoolPolicy};
+pub use raw_tables::{RawMatch, RawPool, RawPoolPolicy, RawRoute, RawTables, RawTarget};
+pub use route::{Method, PathPrefix, Route, RouteClass, RouteMatch, ServiceTarget};
+pub use share::Share;
+pub use tables::{TableError, TableErrors, Tables};
+pub use timestamp::Timestamp;
+pub use trefoillock_macros::data;
+pub use version::{ConfigVersion, Incarnation, LogIndex, MembersVersion, MoveId, ReplicaId, Term};
--- /dev/null
+++ b/trefoillock-core/src/raw_tables.rs
@@ -0,0 +1,214 @@
+//! The two tables as operators write them, before they are checked.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::{Pool, Route, TableError, TableErrors, Tables};
+
+/// What a route matches, as written.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawMatch {
+    /// The host, without port.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<String>,
+    /// The beginning of the path.
+    pub path_prefix: String,
+    /// The HTTP method.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub method: Option<String>,
+}
+
+/// A service-level target, as written.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawTarget {
+    /// The share of calls that must be good, in percent.
+    pub good_percent: f64,
+    /// The time within which a good call is answered, in milliseconds.
+    pub latency_ms: u32,
+}
+
+/// A route, as written.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawRoute {
+    /// The name.
+    pub name: String,
+    /// Which calls belong to the route.
+    #[serde(rename = "match")]
+    pub matches: RawMatch,
+    /// The class of its calls.
+    pub class: String,
+    /// The name of a pool.
+    pub pool: String,
+    /// The longest time that a call may take, in milliseconds.
+    pub timeout_ms: u32,
+    /// The service-level target.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target: Option<RawTarget>,
+    /// The time by which a move must be done, as RFC 3339 text.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub move_deadline: Option<String>,
+}
+
+/// The policy of a pool, as written; a missing field takes its default.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPoolPolicy {
+    /// The number of calls that one backend server runs at once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
+    /// The number of connections to one backend server.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connections: Option<u32>,
+    /// The longest time that a call waits for a slot, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub queue_ms: Option<u32>,
+    /// The time over which a new backend server gets its full load, in seconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slow_start_s: Option<u32>,
+}
+
+/// A pool, as written.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPool {
+    /// The name.
+    pub name: String,
+    /// The service whose backend servers form the pool.
+    pub service: String,
+    /// The version that the backend servers run.
+    pub version: String,
+    /// The policy.
+    #[serde(default)]
+    pub policy: RawPoolPolicy,
+}
+
+/// Both tables, as written.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawTables {
+    /// The rows of the table of routes.
+    pub routes: Vec<RawRoute>,
+    /// The rows of the table of pools.
+    pub pools: Vec<RawPool>,
+}
+
+impl RawTables {
+    /// Reads tables from JSON text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every row that cannot be read, with its place, all at once.
+    pub fn from_json(text: &str) -> Result<Self, TableErrors> {
+        let value: Value = serde_json::from_str(text)
+            .map_err(|error| TableErrors::one("$", format!("is not JSON: {error}")))?;
+        Self::from_value(&value)
+    }
+
+    /// Reads tables from a JSON value.
+    ///
+    /// # Errors
+    ///
+    /// Returns every row that cannot be read, with its place, all at once.
+    pub fn from_value(value: &Value) -> Result<Self, TableErrors> {
+        let Some(object) = value.as_object() else {
+            return Err(TableErrors::one(
+                "$",
+                "must be an object with `routes` and `pools`",
+            ));
+        };
+        let mut errors = Vec::new();
+        for key in object
+            .keys()
+            .filter(|key| !matches!(key.as_str(), "routes" | "pools"))
+        {
+            errors.push(TableError::new(format!("$.{key}"), "is not a known field"));
+        }
+        let routes = read_rows(value, "routes", &mut errors);
+        let pools = read_rows(value, "pools", &mut errors);
+        TableErrors::check(errors)?;
+        Ok(Self { routes, pools })
+    }
+}
+
+/// Reads the rows of one table and collects the errors of all of them.
+fn read_rows<T>(value: &Value, table: &str, errors: &mut Vec<TableError>) -> Vec<T>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let Some(rows) = value.get(table).and_then(Value::as_array) else {
+        errors.push(TableError::new(format!("$.{table}"), "must be a list"));
+        return Vec::new();
+    };
+    let mut read = Vec::with_capacity(rows.len());
+    for (at, row) in rows.iter().enumerate() {
+        match serde_path_to_error::deserialize(row) {
+            Ok(row) => read.push(row),
+            Err(error) => {
+                let path = error.path().to_string();
+                let place = match path.as_str() {
+                    "." => format!("$.{table}[{at}]"),
+                    path => format!("$.{table}[{at}].{path}"),
+                };
+                errors.push(TableError::new(place, error.inner().to_string()));
+            }
+        }
+    }
+    read
+}
+
+impl From<&Route> for RawRoute {
+    fn from(route: &Route) -> Self {
+        Self {
+            name: route.name.to_string(),
+            matches: RawMatch {
+                host: route.matches.host.as_ref().map(ToString::to_string),
+                path_prefix: route.matches.path_prefix.as_str().to_owned(),
+                method: route.matches.method.as_ref().map(|m| m.as_str().to_owned()),
+            },
+            class: route.class.as_str().to_owned(),
+            pool: route.pool.to_string(),
+            timeout_ms: route.timeout_ms,
+            target: Some(RawTarget {
+                good_percent: f64::from(route.target.good_ppm) / 10_000.0,
+                latency_ms: route.target.latency_ms,
+            }),
+            move_deadline: route.move_deadline.map(crate::Timestamp::to_rfc3339),
+        }
+    }
+}
+
+impl From<&Pool> for RawPool {
+    fn from(pool: &Pool) -> Self {
+        Self {
+            name: pool.name.to_string(),
+            service: pool.service.to_string(),
+            version: pool.version.to_string(),
+            policy: RawPoolPolicy {
+                slots: Some(pool.policy.slots),
+                connections: Some(pool.policy.connections),
+                queue_ms: Some(pool.policy.queue_ms),
+                slow_start_s: Some(pool.policy.slow_start_s),
+            },
+        }
+    }
+}
+
+impl From<&Tables> for RawTables {
+    fn from(tables: &Tables) -> Self {
+        Self {
+            routes: tables
+                .routes()
+                .values()
+                .map(|route| RawRoute::from(route.as_ref()))
+                .collect(),
+            pools: tables
+                .pools()
+                .values()
+                .map(|pool| RawPool::from(pool.as_ref()))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/trefoillock-core/src/tables.rs
@@ -0,0 +1,445 @@
+//! The two tables, checked as a whole.
+
+use std::{collections::BTreeMap, fmt, sync::Arc};
+
+use trefoillock_macros::data;
+
+use crate::{
+    Pool, PoolName, PoolPolicy, RawMatch, RawPool, RawPoolPolicy, RawRoute, RawTables, Route,
+    RouteClass, RouteMatch, RouteName, ServiceTarget, TablesDiff, Timestamp,
+};
+
+/// The largest number of rows of each table.
+const MAX_ROWS: usize = 20_000;
+/// The longest timeout of a call, in milliseconds.
+const MAX_TIMEOUT_MS: u32 = 3_600_000;
+/// The largest number of slots or connections of a backend server.
+const MAX_SLOTS: u32 = 100_000;
+/// The longest time that a call may wait for a slot, in milliseconds.
+const MAX_QUEUE_MS: u32 = 60_000;
+/// The longest slow start, in seconds.
+const MAX_SLOW_START_S: u32 = 3_600;
+/// The default share of calls that must be good, in parts per million.
+const DEFAULT_GOOD_PPM: u32 = 999_000;
+
+/// One fault of the tables, with its place.
+#[data]
+pub struct TableError {
+    /// The place, as a JSON path.
+    pub place: String,
+    /// The rule that is broken.
+    pub rule: String,
+}
+
+impl TableError {
+    /// Creates an error from its place and the rule that is broken.
+    #[must_use]
+    pub fn new(place: impl Into<String>, rule: impl Into<String>) -> Self {
+        Self {
+            place: place.into(),
+            rule: rule.into(),
+        }
+    }
+}
+
+impl fmt::Display for TableError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.rule)
+    }
+}
+
+/// All faults of the tables.
+#[data]
+pub struct TableErrors(Vec<TableError>);
+
+impl TableErrors {
+    /// Creates the errors from a single one.
+    #[must_use]
+    pub fn one(place: impl Into<String>, rule: impl Into<String>) -> Self {
+        Self(vec![TableError::new(place, rule)])
+    }
+
+    /// Returns the errors as such if there are any.
+    ///
+    /// # Errors
+    ///
+    /// Returns the given errors unless there are none.
+    pub fn check(errors: Vec<TableError>) -> Result<(), Self> {
+        if errors.is_empty() {
+            Ok(())
+        } else {
+            Err(Self(errors))
+        }
+    }
+
+    /// The errors in the order of the rows.
+    #[must_use]
+    pub fn as_slice(&self) -> &[TableError] {
+        &self.0
+    }
+}
+
+impl fmt::Display for TableErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, error) in self.0.iter().enumerate() {
+            if at > 0 {
+                f.write_str("; ")?;
+            }
+            error.fmt(f)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for TableErrors {}
+
+/// The table of routes and the table of pools, joined by names.
+///
+/// Every route names a pool of the same tables.
+#[data]
+#[derive(Default)]
+pub struct Tables {
+    routes: BTreeMap<RouteName, Arc<Route>>,
+    pools: BTreeMap<PoolName, Arc<Pool>>,
+}
+
+impl Tables {
+    /// The routes by name.
+    #[must_use]
+    pub const fn routes(&self) -> &BTreeMap<RouteName, Arc<Route>> {
+        &self.routes
+    }
+
+    /// The pools by name.
+    #[must_use]
+    pub const fn pools(&self) -> &BTreeMap<PoolName, Arc<Pool>> {
+        &self.pools
+    }
+
+    /// Builds tables from rows that were checked one by one.
+    ///
+    /// # Errors
+    ///
+    /// Returns every route that names a missing pool.
+    pub fn from_rows(
+        routes: BTreeMap<RouteName, Arc<Route>>,
+        pools: BTreeMap<PoolName, Arc<Pool>>,
+    ) -> Result<Self, TableErrors> {
+        let dangling = routes
+            .values()
+            .filter(|route| !pools.contains_key(&route.pool));
+        let errors = dangling
+            .map(|route| missing_pool(&route.name, &route.pool))
+            .collect();
+        TableErrors::check(errors)?;
+        Ok(Self { routes, pools })
+    }
+
+    /// Returns the tables with the pool of one route replaced.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the route or the pool is missing.
+    pub fn with_route_pool(&self, route: &RouteName, pool: &PoolName) -> Result<Self, TableErrors> {
+        let Some(row) = self.routes.get(route) else {
+            return Err(TableErrors::one(
+                format!("routes.{route}"),
+                "does not exist",
+            ));
+        };
+        let row = Route {
+            pool: pool.clone(),
+            move_deadline: None,
+            ..row.as_ref().clone()
+        };
+        let mut routes = self.routes.clone();
+        routes.insert(route.clone(), Arc::new(row));
+        Self::from_rows(routes, self.pools.clone())
+    }
+
+    /// The rows in which `newer` differs from these tables.
+    #[must_use]
+    pub fn diff(&self, newer: &Self) -> TablesDiff {
+        let (routes_added, routes_removed, routes_changed) = diff_rows(&self.routes, &newer.routes);
+        let (pools_added, pools_removed, pools_changed) = diff_rows(&self.pools, &newer.pools);
+        TablesDiff {
+            routes_added,
+            routes_removed,
+            routes_changed,
+            pools_added,
+            pools_removed,
+            pools_changed,
+        }
+    }
+}
+
+fn missing_pool(route: &RouteName, pool: &PoolName) -> TableError {
+    TableError::new(
+        format!("routes.{route}.pool"),
+        format!("names the pool {pool:?}, which does not exist"),
+    )
+}
+
+/// The keys that were added, removed and changed between two tables.
+fn diff_rows<K, V>(old: &BTreeMap<K, V>, new: &BTreeMap<K, V>) -> (Vec<K>, Vec<K>, Vec<K>)
+where
+    K: Ord + Clone,
+    V: PartialEq,
+{
+    let added = new
+        .keys()
+        .filter(|key| !old.contains_key(key))
+        .cloned()
+        .collect();
+    let removed = old
+        .keys()
+        .filter(|key| !new.contains_key(key))
+        .cloned()
+        .collect();
+    let differs = |key: &&K| old.get(key).is_some_and(|row| new.get(key) != Some(row));
+    let changed = new.keys().filter(differs).cloned().collect();
+    (added, removed, changed)
+}
+
+impl TryFrom<RawTables> for Tables {
+    type Error = TableErrors;
+
+    fn try_from(raw: RawTables) -> Result<Self, TableErrors> {
+        let mut check = Checker::default();
+        check.limit("routes", raw.routes.len());
+        check.limit("pools", raw.pools.len());
+        let mut pools = BTreeMap::new();
+        for (at, row) in raw.pools.iter().enumerate() {
+            if let Some(pool) = check.pool(at, row)
+                && let Some(double) = pools.insert(pool.name.clone(), Arc::new(pool))
+            {
+                check.error(
+                    format!("$.pools[{at}].name"),
+                    format!("the pool {:?} stands twice", double.name),
+                );
+            }
+        }
+        let pool_names: Vec<&str> = raw.pools.iter().map(|pool| pool.name.as_str()).collect();
+        let mut routes = BTreeMap::new();
+        let mut matches = BTreeMap::new();
+        for (at, row) in raw.routes.iter().enumerate() {
+            if !pool_names.contains(&row.pool.as_str()) {
+                check.error(
+                    format!("$.routes[{at}].pool"),
+                    format!("names the pool {:?}, which does not exist", row.pool),
+                );
+            }
+            let Some(route) = check.route(at, row) else {
+                continue;
+            };
+            if let Some(first) = matches.insert(route.matches.clone(), route.name.clone()) {
+                check.error(
+                    format!("$.routes[{at}].match"),
+                    format!("matches the same calls as the route {first:?}"),
+                );
+            }
+            if let Some(double) = routes.insert(route.name.clone(), Arc::new(route)) {
+                check.error(
+                    format!("$.routes[{at}].name"),
+                    format!("the route {:?} stands twice", double.name),
+                );
+            }
+        }
+        TableErrors::check(check.errors)?;
+        Self::from_rows(routes, pools)
+    }
+}
+
+/// Collects the errors of all rows.
+#[derive(Default)]
+struct Checker {
+    errors: Vec<TableError>,
+}
+
+impl Checker {
+    fn error(&mut self, place: impl Into<String>, rule: impl Into<String>) {
+        self.errors.push(TableError::new(place, rule));
+    }
+
+    fn limit(&mut self, table: &str, rows: usize) {
+        if rows > MAX_ROWS {
+            self.error(
+                format!("$.{table}"),
+                format!("has {rows} rows, at most {MAX_ROWS} are allowed"),
+            );
+        }
+    }
+
+    fn range(&mut self, place: String, value: u32, low: u32, high: u32) {
+        if !(low..=high).contains(&value) {
+            self.error(
+                place,
+                format!("must lie between {low} and {high}, not {value}"),
+            );
+        }
+    }
+
+    /// Converts a text into a checked type and records the error, if any.
+    fn parse<T>(&mut self, place: String, text: &str) -> Option<T>
+    where
+        T: TryFrom<String>,
+        T::Error: fmt::Display,
+    {
+        match T::try_from(text.to_owned()) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.error(place, error.to_string());
+                None
+            }
+        }
+    }
+
+    fn pool(&mut self, at: usize, row: &RawPool) -> Option<Pool> {
+        let place = format!("$.pools[{at}]");
+        let name = self.parse(format!("{place}.name"), &row.name);
+        let service = self.parse(format!("{place}.service"), &row.service);
+        let version = self.parse(format!("{place}.version"), &row.version);
+        let policy = self.policy(&format!("{place}.policy"), &row.policy);
+        Some(Pool {
+            name: name?,
+            service: service?,
+            version: version?,
+            policy,
+        })
+    }
+
+    fn policy(&mut self, place: &str, row: &RawPoolPolicy) -> PoolPolicy {
+        let default = PoolPolicy::default();
+        let policy = PoolPolicy {
+            slots: row.slots.unwrap_or(default.slots),
+            connections: row.connections.unwrap_or(default.connections),
+            queue_ms: row.queue_ms.unwrap_or(default.queue_ms),
+            slow_start_s: row.slow_start_s.unwrap_or(default.slow_start_s),
+        };
+        self.range(format!("{place}.slots"), policy.slots, 1, MAX_SLOTS);
+        self.range(
+            format!("{place}.connections"),
+            policy.connections,
+            1,
+            MAX_SLOTS,
+        );
+        self.range(
+            format!("{place}.queue_ms"),
+            policy.queue_ms,
+            0,
+            MAX_QUEUE_MS,
+        );
+        self.range(
+            format!("{place}.slow_start_s"),
+            policy.slow_start_s,
+            0,
+            MAX_SLOW_START_S,
+        );
+        if policy.connections < policy.slots {
+            self.error(
+                format!("{place}.connections"),
+                "must not be lower than `slots`",
+            );
+        }
+        policy
+    }
+
+    fn route(&mut self, at: usize, row: &RawRoute) -> Option<Route> {
+        let place = format!("$.routes[{at}]");
+        let name = self.parse(format!("{place}.name"), &row.name);
+        let matches = self.matches(&format!("{place}.match"), &row.matches);
+        let class = self.class(format!("{place}.class"), &row.class);
+        let pool = self.parse(format!("{place}.pool"), &row.pool);
+        self.range(
+            format!("{place}.timeout_ms"),
+            row.timeout_ms,
+            1,
+            MAX_TIMEOUT_MS,
+        );
+        let target = self.target(&place, row);
+        let move_deadline = self.deadline(
+            format!("{place}.move_deadline"),
+            row.move_deadline.as_deref(),
+        );
+        Some(Route {
+            name: name?,
+            matches: matches?,
+            class: class?,
+            pool: pool?,
+            timeout_ms: row.timeout_ms,
+            target,
+            move_deadline,
+        })
+    }
+
+    fn matches(&mut self, place: &str, row: &RawMatch) -> Option<RouteMatch> {
+        let errors = self.errors.len();
+        let host = row.host.as_deref().map(str::to_ascii_lowercase);
+        let host = host.and_then(|host| self.parse(format!("{place}.host"), &host));
+        let path_prefix = self.parse(format!("{place}.path_prefix"), &row.path_prefix);
+        let method = row.method.as_deref();
+        let method = method.and_then(|method| self.parse(format!("{place}.method"), method));
+        if self.errors.len() > errors {
+            return None;
+        }
+        Some(RouteMatch {
+            host,
+            path_prefix: path_prefix?,
+            method,
+        })
+    }
+
+    fn class(&mut self, place: String, text: &str) -> Option<RouteClass> {
+        let class = RouteClass::ALL
+            .into_iter()
+            .find(|class| class.as_str() == text);
+        if class.is_none() {
+            self.error(
+                place,
+                format!("{text:?} is not one of lookup, posting, export, background"),
+            );
+        }
+        class
+    }
+
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn target(&mut self, place: &str, row: &RawRoute) -> ServiceTarget {
+        let Some(target) = &row.target else {
+            return ServiceTarget {
+                good_ppm: DEFAULT_GOOD_PPM,
+                latency_ms: row.timeout_ms,
+            };
+        };
+        if !(target.good_percent > 0.0 && target.good_percent < 100.0) {
+            self.error(
+                format!("{place}.target.good_percent"),
+                format!(
+                    "must lie between 0 and 100, both excluded, not {}",
+                    target.good_percent
+                ),
+            );
+        }
+        self.range(
+            format!("{place}.target.latency_ms"),
+            target.latency_ms,
+            1,
+            row.timeout_ms.max(1),
+        );
+        ServiceTarget {
+            good_ppm: (target.good_percent * 10_000.0).round() as u32,
+            latency_ms: target.latency_ms,
+        }
+    }
+
+    fn deadline(&mut self, place: String, text: Option<&str>) -> Option<Timestamp> {
+        let text = text?;
+        let deadline = Timestamp::parse_rfc3339(text);
+        if deadline.is_none() {
+            self.error(
+                place,
+                format!("{text:?} is not an RFC 3339 time such as 2026-12-31T18:00:00Z"),
+            );
+        }
+        deadline
+    }
+}
--- /dev/null
+++ b/trefoillock-rpc/src/codec.rs
@@ -0,0 +1,96 @@
+//! The codec of messages: MessagePack with named fields.
+
+use std::{marker::PhantomData, sync::Arc};
+
+use bytes::{Buf, BufMut};
+use serde::{Serialize, de::DeserializeOwned};
+use tonic::{
+    Status,
+    codec::{Codec, DecodeBuf, Decoder, EncodeBuf, Encoder},
+};
+
+use crate::Traffic;
+
+/// Encodes messages of type `E` and decodes messages of type `D`, and counts their bytes.
+#[derive(Debug)]
+pub struct MessageCodec<E, D> {
+    traffic: Arc<Traffic>,
+    messages: PhantomData<fn(E) -> D>,
+}
+
+impl<E, D> MessageCodec<E, D> {
+    /// Creates a codec that counts into `traffic`.
+    #[must_use]
+    pub const fn new(traffic: Arc<Traffic>) -> Self {
+        Self {
+            traffic,
+            messages: PhantomData,
+        }
+    }
+}
+
+impl<E, D> Codec for MessageCodec<E, D>
+where
+    E: Serialize + Send + 'static,
+    D: DeserializeOwned + Send + 'static,
+{
+    type Encode = E;
+    type Decode = D;
+    type Encoder = MessageEncoder<E>;
+    type Decoder = MessageDecoder<D>;
+
+    fn encoder(&mut self) -> Self::Encoder {
+        MessageEncoder {
+            traffic: self.traffic.clone(),
+            message: PhantomData,
+        }
+    }
+
+    fn decoder(&mut self) -> Self::Decoder {
+        MessageDecoder {
+            traffic: self.traffic.clone(),
+            message: PhantomData,
+        }
+    }
+}
+
+/// The encoding half of [`MessageCodec`].
+#[derive(Debug)]
+pub struct MessageEncoder<E> {
+    traffic: Arc<Traffic>,
+    message: PhantomData<fn(E)>,
+}
+
+impl<E: Serialize> Encoder for MessageEncoder<E> {
+    type Item = E;
+    type Error = Status;
+
+    fn encode(&mut self, message: E, dst: &mut EncodeBuf<'_>) -> Result<(), Status> {
+        let bytes = rmp_serde::to_vec_named(&message)
+            .map_err(|error| Status::internal(format!("message cannot be encoded: {error}")))?;
+        self.traffic.add_sent(bytes.len());
+        dst.put_slice(&bytes);
+        Ok(())
+    }
+}
+
+/// The decoding half of [`MessageCodec`].
+#[derive(Debug)]
+pub struct MessageDecoder<D> {
+    traffic: Arc<Traffic>,
+    message: PhantomData<fn() -> D>,
+}
+
+impl<D: DeserializeOwned> Decoder for MessageDecoder<D> {
+    type Item = D;
+    type Error = Status;
+
+    fn decode(&mut self, src: &mut DecodeBuf<'_>) -> Result<Option<D>, Status> {
+        let length = src.remaining();
+        self.traffic.add_received(length);
+        let bytes = src.copy_to_bytes(length);
+        rmp_serde::from_slice(&bytes).map(Some).map_err(|error| {
+            Status::invalid_argument(format!("message cannot be decoded: {error}"))
+        })
+    }
+}
--- /dev/null
+++ b/trefoillock-rpc/src/traffic.rs
@@ -0,0 +1,41 @@
+//! Counters of message bytes.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counts the bytes of encoded messages that a process sent and received.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+impl Traffic {
+    /// Creates counters at zero.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            sent: AtomicU64::new(0),
+            received: AtomicU64::new(0),
+        }
+    }
+
+    /// Bytes sent.
+    #[must_use]
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Bytes received.
+    #[must_use]
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn add_sent(&self, bytes: usize) {
+        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn add_received(&self, bytes: usize) {
+        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
