feat(control): distribute configuration and members through a relay tree

Cause: nodes need the newest configuration and member list within seconds, and the leader's work must not grow with the fleet. Figures: not measured yet; tests/sockets.rs passes with eight nodes, a redirect, a killed relay, a drain and a restart.

--- /dev/null
+++ b/trefoillock-control/src/agent.rs
@@ -0,0 +1,268 @@
+//! The part of a node that attaches to the tree and relays for other nodes.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::StreamExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::sync::{mpsc, watch};
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_util::sync::CancellationToken;
+use trefoillock_core::{
+    Announcement, Config, CrashReport, Error, Evidence, Map, Members, Peer, Step,
+};
+use trefoillock_rpc::{RpcClient, RpcServer, Token, Traffic};
+
+use crate::{
+    DownMessage, LinkId, NodeEffect, NodeIdentity, NodeMachine, ParentAddress, ParentKind,
+    UpMessage,
+    child_server::{self, CONTROL_PATH, ChildEvent, ChildSenders, EVENT_QUEUE, RELAY_PATH},
+    clock::Clock,
+};
+
+/// The time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// The number of messages that wait for the parent; more are dropped and sent again later.
+const LINK_QUEUE: usize = 64;
+
+/// Evidence that was gathered on this node since the last time.
+#[derive(Debug, Clone, Default)]
+pub struct LocalEvidence {
+    /// Counts of call outcomes.
+    pub evidence: Evidence,
+    /// Crashes of backend servers.
+    pub crashes: Vec<CrashReport>,
+}
+
+/// What the distribution is told by the node.
+#[derive(Debug)]
+pub struct NodeInputs {
+    /// The backend servers beside the node.
+    pub announcements: watch::Receiver<Vec<Announcement>>,
+    /// Evidence, as it is gathered.
+    pub evidence: mpsc::Receiver<LocalEvidence>,
+}
+
+/// What the distribution tells the node.
+#[derive(Debug, Clone)]
+pub struct NodeOutputs {
+    /// The configuration to serve calls by; `None` until a live leader has confirmed one.
+    pub config: watch::Receiver<Option<Arc<Config>>>,
+    /// The list of members; empty until a live leader has confirmed one.
+    pub members: watch::Receiver<Arc<Members>>,
+}
+
+struct Link {
+    messages: mpsc::Sender<UpMessage>,
+    stop: CancellationToken,
+}
+
+enum LinkEvent {
+    Message(LinkId, Box<DownMessage>),
+    Closed(LinkId),
+}
+
+/// Attaches a node to the tree, holds what it receives and relays it to other nodes.
+pub struct NodeAgent {
+    machine: NodeMachine,
+    inputs: NodeInputs,
+    config: watch::Sender<Option<Arc<Config>>>,
+    members: watch::Sender<Arc<Members>>,
+    token: Token,
+    traffic: Arc<Traffic>,
+    links: Map<LinkId, Link>,
+    link_events_tx: mpsc::Sender<LinkEvent>,
+    link_events: mpsc::Receiver<LinkEvent>,
+    children: ChildSenders,
+    child_events_tx: mpsc::Sender<ChildEvent>,
+    child_events: mpsc::Receiver<ChildEvent>,
+    clock: Clock,
+}
+
+impl NodeAgent {
+    /// Creates the agent of a node that knows the addresses of the control replicas.
+    #[must_use]
+    pub fn new(
+        identity: NodeIdentity,
+        control: Vec<SocketAddr>,
+        token: Token,
+        traffic: Arc<Traffic>,
+        inputs: NodeInputs,
+    ) -> (Self, NodeOutputs) {
+        let (link_events_tx, link_events) = mpsc::channel(EVENT_QUEUE);
+        let (child_events_tx, child_events) = mpsc::channel(EVENT_QUEUE);
+        let (config_tx, config) = watch::channel(None);
+        let (members_tx, members) = watch::channel(Arc::default());
+        let rng = Pcg64Mcg::seed_from_u64(rand::random());
+        let agent = Self {
+            machine: NodeMachine::new(identity, control, rng),
+            inputs,
+            config: config_tx,
+            members: members_tx,
+            token,
+            traffic,
+            links: Map::default(),
+            link_events_tx,
+            link_events,
+            children: ChildSenders::default(),
+            child_events_tx,
+            child_events,
+            clock: Clock::start(),
+        };
+        (agent, NodeOutputs { config, members })
+    }
+
+    /// Adds the calls of children to the handlers of a listening socket.
+    #[must_use]
+    pub fn rpc_routes(&self, server: RpcServer) -> RpcServer {
+        child_server::add_route(server, RELAY_PATH, self.child_events_tx.clone())
+    }
+
+    /// Runs until `stop` is cancelled.
+    pub async fn run(mut self, stop: CancellationToken) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        self.inputs.announcements.mark_changed();
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => break,
+                Ok(()) = self.inputs.announcements.changed() => {
+                    let announcements = self.inputs.announcements.borrow_and_update().clone();
+                    self.machine.set_announcements(&announcements);
+                }
+                Some(local) = self.inputs.evidence.recv() => {
+                    self.machine.add_evidence(&local.evidence, local.crashes);
+                }
+                Some(event) = self.link_events.recv() => self.on_link_event(event),
+                Some(event) = self.child_events.recv() => self.on_child_event(event),
+                _ = tick.tick() => self.machine.on_tick(self.clock.now()),
+            }
+            self.run_effects();
+            self.publish();
+        }
+        for link in self.links.values() {
+            link.stop.cancel();
+        }
+    }
+
+    fn on_link_event(&mut self, event: LinkEvent) {
+        let now = self.clock.now();
+        match event {
+            LinkEvent::Message(link, message) => self.machine.on_down(now, link, &message),
+            LinkEvent::Closed(link) => {
+                self.close_link(link);
+                self.machine.on_link_closed(now, link);
+            }
+        }
+    }
+
+    fn on_child_event(&mut self, event: ChildEvent) {
+        let now = self.clock.now();
+        match event {
+            ChildEvent::Opened(key, sender) => self.children.open(key, sender),
+            ChildEvent::Message(key, message) => {
+                self.machine.on_child_message(now, key, &message);
+            }
+            ChildEvent::Closed(key) => {
+                self.children.close(key);
+                self.machine.on_child_closed(key);
+            }
+        }
+    }
+
+    fn run_effects(&mut self) {
+        for effect in self.machine.take_effects() {
+            match effect {
+                NodeEffect::Open(link, address) => self.open_link(link, address),
+                NodeEffect::SendUp(link, message) => self.send_up(link, message),
+                NodeEffect::CloseLink(link) => self.close_link(link),
+                NodeEffect::SendDown(key, message) => self.children.send(key, message),
+                NodeEffect::CloseChild(key) => self.children.close(key),
+            }
+        }
+    }
+
+    fn open_link(&mut self, link: LinkId, address: ParentAddress) {
+        let (tx, rx) = mpsc::channel(LINK_QUEUE);
+        let stop = CancellationToken::new();
+        let client = RpcClient::new(address.address, self.token.clone(), self.traffic.clone());
+        let events = self.link_events_tx.clone();
+        let task_stop = stop.clone();
+        tokio::spawn(async move {
+            let task = run_link(link, address, client, rx, events);
+            task_stop.run_until_cancelled(task).await;
+        });
+        let messages = tx;
+        self.links.insert(link, Link { messages, stop });
+    }
+
+    fn send_up(&self, link: LinkId, message: UpMessage) {
+        if let Some(link) = self.links.get(&link)
+            && link.messages.try_send(message).is_err()
+        {
+            log::debug!("a message to the parent was dropped");
+        }
+    }
+
+    fn close_link(&mut self, link: LinkId) {
+        if let Some(link) = self.links.remove(&link) {
+            link.stop.cancel();
+        }
+    }
+
+    fn publish(&self) {
+        let config = self.machine.config();
+        self.config.send_if_modified(|held| {
+            let is_new = held.as_ref().map(|c| c.version()) != config.map(|c| c.version());
+            if is_new {
+                *held = config.cloned();
+            }
+            is_new
+        });
+        let Some(members) = self.machine.members() else {
+            return;
+        };
+        self.members.send_if_modified(|held| {
+            let is_new = held.version != members.version;
+            if is_new {
+                *held = members.clone();
+            }
+            is_new
+        });
+    }
+}
+
+/// Opens a connection to a parent and passes its messages on until it ends.
+async fn run_link(
+    link: LinkId,
+    address: ParentAddress,
+    client: RpcClient,
+    messages: mpsc::Receiver<UpMessage>,
+    events: mpsc::Sender<LinkEvent>,
+) {
+    let path = match address.kind {
+        ParentKind::Control => CONTROL_PATH,
+        ParentKind::Relay => RELAY_PATH,
+    };
+    let opened = client.streaming(path, ReceiverStream::new(messages)).await;
+    match opened {
+        Ok(mut answers) => {
+            while let Some(Ok(message)) = answers.next().await {
+                let event = LinkEvent::Message(link, Box::new(message));
+                if events.send(event).await.is_err() {
+                    return;
+                }
+            }
+        }
+        Err(status) => {
+            let place = address.address.to_string();
+            let peer = match address.kind {
+                ParentKind::Control => Peer::Control(place),
+                ParentKind::Relay => Peer::Node(place),
+            };
+            log::debug!("{}", Error::new(Step::Connect, peer, status));
+        }
+    }
+    // The receiver only goes away when the process stops.
+    let _ = events.send(LinkEvent::Closed(link)).await;
+}
--- /dev/null
+++ b/trefoillock-control/tests/sockets.rs
@@ -0,0 +1,250 @@
+//! The distribution over real sockets: relays, a redirect to the leader, and a killed relay.
+
+mod common;
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    task::JoinHandle,
+};
+use tokio_util::sync::CancellationToken;
+use trefoillock_control::{
+    DistributionSource, LocalEvidence, NodeAgent, NodeIdentity, NodeInputs, NodeOutputs,
+    SourceInputs, SourceOutputs, SourceRole, SourceState,
+};
+use trefoillock_core::{
+    Announcement, Config, ConfigVersion, CrashReport, Evidence, Fingerprint, Incarnation,
+    MemberState, Members, MoveEvidence, MoveId, NodeId, PoolEvidence, ServerId, Term, Timestamp,
+};
+use trefoillock_rpc::{RpcServer, Token, Traffic};
+
+/// The time after which a test that waits in vain fails.
+const HANG_GUARD: Duration = Duration::from_secs(30);
+
+struct Source {
+    address: SocketAddr,
+    state: watch::Sender<SourceState>,
+    _quarantined: watch::Sender<BTreeMap<Fingerprint, Timestamp>>,
+    outputs: SourceOutputs,
+    stop: CancellationToken,
+}
+
+impl Source {
+    async fn start(role: SourceRole, config: Arc<Config>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (state, state_rx) = watch::channel(SourceState { role, config });
+        let (quarantined, quarantined_rx) = watch::channel(BTreeMap::new());
+        let inputs = SourceInputs {
+            state: state_rx,
+            quarantined: quarantined_rx,
+        };
+        let (source, outputs) = DistributionSource::new(address, inputs);
+        let stop = CancellationToken::new();
+        let server = source.rpc_routes(RpcServer::new(Token::new("t"), Arc::default()));
+        tokio::spawn(server.serve(listener, stop.clone()));
+        tokio::spawn(source.run(stop.clone()));
+        Self {
+            address,
+            state,
+            _quarantined: quarantined,
+            outputs,
+            stop,
+        }
+    }
+
+    fn set_config(&self, config: Arc<Config>) {
+        self.state.send_modify(|state| state.config = config);
+    }
+}
+
+struct Node {
+    id: NodeId,
+    outputs: NodeOutputs,
+    announcements: watch::Sender<Vec<Announcement>>,
+    evidence: mpsc::Sender<LocalEvidence>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Node {
+    async fn start(number: u16, incarnation: u64, control: &[SocketAddr]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let id = NodeId::try_from(format!("node-{number}")).expect("a name");
+        let identity = NodeIdentity {
+            node: id.clone(),
+            incarnation: Incarnation::new(incarnation),
+            data_centre: "wa-west-a".try_into().expect("a name"),
+            peer_address: address,
+            mesh_address: address,
+        };
+        let server_address = SocketAddr::from(([127, 0, 0, 1], 9_000));
+        let (announcements, announcements_rx) =
+            watch::channel(vec![common::announcement(server_address, incarnation)]);
+        let (evidence, evidence_rx) = mpsc::channel(8);
+        let inputs = NodeInputs {
+            announcements: announcements_rx,
+            evidence: evidence_rx,
+        };
+        let (agent, outputs) = NodeAgent::new(
+            identity,
+            control.to_vec(),
+            Token::new("t"),
+            Arc::new(Traffic::new()),
+            inputs,
+        );
+        let stop = CancellationToken::new();
+        let server = agent.rpc_routes(RpcServer::new(Token::new("t"), Arc::default()));
+        let serve = server.serve(listener, stop.clone());
+        let tasks = vec![
+            tokio::spawn(async move { serve.await.expect("the socket works") }),
+            tokio::spawn(agent.run(stop)),
+        ];
+        Self {
+            id,
+            outputs,
+            announcements,
+            evidence,
+            tasks,
+        }
+    }
+
+    /// Ends the node without a goodbye.
+    fn kill(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+
+    async fn wait_config(&self, version: u64) {
+        let version = ConfigVersion::new(version);
+        let mut config = self.outputs.config.clone();
+        wait(&mut config, |config| {
+            config.as_ref().is_some_and(|c| c.version() == version)
+        })
+        .await;
+    }
+
+    async fn wait_members(&self, wanted: impl FnMut(&Arc<Members>) -> bool) {
+        wait(&mut self.outputs.members.clone(), wanted).await;
+    }
+}
+
+async fn wait<T>(rx: &mut watch::Receiver<T>, wanted: impl FnMut(&T) -> bool) {
+    let found = tokio::time::timeout(HANG_GUARD, rx.wait_for(wanted)).await;
+    found.expect("no hang").expect("the sender lives");
+}
+
+const LEADING: SourceRole = SourceRole::Leading { term: Term::new(1) };
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn nodes_follow_the_leader_through_relays_redirects_and_losses() {
+    let mut leader = Source::start(LEADING, common::config(1)).await;
+    let follower = Source::start(
+        SourceRole::Following {
+            leader: Some(leader.address),
+        },
+        common::config(1),
+    )
+    .await;
+    let control = [follower.address];
+    let mut nodes = Vec::new();
+    for number in 0..8 {
+        nodes.push(Node::start(number, 1, &control).await);
+    }
+    for node in &nodes {
+        node.wait_config(1).await;
+        node.wait_members(|members| members.servers.len() == 8)
+            .await;
+    }
+
+    leader.set_config(common::config(5));
+    for node in &nodes {
+        node.wait_config(5).await;
+    }
+    wait(&mut leader.outputs.status, |status| {
+        status.nodes == 8 && status.is_in_force()
+    })
+    .await;
+    wait(&mut leader.outputs.guards, |guards| guards.len() == 8).await;
+
+    // One of the first two nodes relays for others.
+    let relay = nodes.remove(0);
+    let lost = relay.id.clone();
+    relay.kill();
+    leader.set_config(common::config(6));
+    for node in &nodes {
+        node.wait_config(6).await;
+        node.wait_members(|members| !members.servers.keys().any(|id| id.node == lost))
+            .await;
+    }
+    wait(&mut leader.outputs.status, |status| {
+        status.nodes == 7 && status.is_in_force()
+    })
+    .await;
+
+    nodes[3].announcements.send_modify(|announcements| {
+        for announcement in announcements {
+            announcement.state = MemberState::Draining;
+        }
+    });
+    for node in &nodes {
+        node.wait_members(|members| members.servers.values().filter(|m| m.is_up()).count() == 6)
+            .await;
+    }
+
+    let again = Node::start(0, 2, &control).await;
+    again.wait_config(6).await;
+    again
+        .wait_members(|members| members.servers.len() == 8)
+        .await;
+
+    check_evidence(&mut leader, &nodes).await;
+    leader.stop.cancel();
+    follower.stop.cancel();
+}
+
+async fn check_evidence(leader: &mut Source, nodes: &[Node]) {
+    for node in nodes {
+        let mut evidence = Evidence::default();
+        let counts = PoolEvidence {
+            calls: 10,
+            ..PoolEvidence::default()
+        };
+        let of_move = MoveEvidence {
+            old: counts.clone(),
+            new: counts,
+            ..MoveEvidence::default()
+        };
+        evidence.moves.insert(MoveId::new(3), of_move);
+        let crash = CrashReport {
+            fingerprint: Fingerprint::new(7),
+            server: ServerId {
+                node: node.id.clone(),
+                address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+            },
+            incarnation: Incarnation::new(1),
+        };
+        let local = LocalEvidence {
+            evidence,
+            crashes: vec![crash],
+        };
+        node.evidence.send(local).await.expect("the agent lives");
+    }
+    let wanted = 10 * nodes.len() as u64;
+    let mut calls = 0;
+    while calls < wanted {
+        let evidence = tokio::time::timeout(HANG_GUARD, leader.outputs.evidence.recv()).await;
+        let evidence = evidence.expect("no hang").expect("the source lives");
+        let of_move = &evidence.moves[&MoveId::new(3)];
+        assert_eq!(of_move.old, of_move.new, "both pools travel together");
+        calls += of_move.old.calls;
+    }
+    assert_eq!(calls, wanted, "no count arrives twice");
+    for _ in nodes {
+        let crash = tokio::time::timeout(HANG_GUARD, leader.outputs.crashes.recv()).await;
+        assert!(crash.expect("no hang").is_some());
+    }
+}
