feat(replica): replicate a log among the control replicas

Cause: the tables must survive the loss of a control VM without an outside store. Conclusion: three replicas on loopback elect, commit, replace a killed leader by a new replica and restart with what was accepted.

--- /dev/null
+++ b/trefoillock-replica/src/driver.rs
@@ -0,0 +1,273 @@
+//! The task that runs a replica's machine.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{Interval, MissedTickBehavior},
+};
+use tokio_util::sync::CancellationToken;
+use trefoillock_core::{LogIndex, ReplicaId};
+
+use crate::{
+    ChangeError, Content, Effect, Entry, Envelope, FolderError, MembershipChange, Payload,
+    Position, ProposeError, ProposeRefusal, ReadError, ReadId, Replica, ReplicaSettings,
+    ReplicaStatus, Snapshot, StateMachine, Ticket,
+    disk_thread::DiskThread,
+    monotonic_clock::MonotonicClock,
+    peers::Peers,
+    waiters::{ChangeAnswer, ProposeAnswer, Waiter, Waiters},
+};
+
+/// The number of commands or messages that are taken in before their effects are carried out.
+const BATCH: usize = 256;
+/// The number of ticks in the time between two heartbeats.
+const TICKS_PER_HEARTBEAT: u32 = 5;
+
+/// What a handle asks of the task.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Propose(Vec<u8>, oneshot::Sender<ProposeAnswer>),
+    Change(MembershipChange, oneshot::Sender<ChangeAnswer>),
+    Read(oneshot::Sender<Result<LogIndex, ReadError>>),
+}
+
+/// The channels into the task.
+#[derive(Debug)]
+pub(crate) struct Inputs {
+    pub(crate) commands: mpsc::Receiver<Command>,
+    pub(crate) inbox: mpsc::Receiver<Envelope>,
+    pub(crate) synced: mpsc::UnboundedReceiver<Result<Ticket, FolderError>>,
+}
+
+/// The task's state.
+pub(crate) struct Driver {
+    pub(crate) settings: ReplicaSettings,
+    pub(crate) replica: Replica,
+    pub(crate) state_machine: Box<dyn StateMachine>,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) disk: DiskThread,
+    pub(crate) peers: Peers,
+    pub(crate) status: watch::Sender<ReplicaStatus>,
+    pub(crate) waiters: Waiters,
+    pub(crate) reads: BTreeMap<ReadId, oneshot::Sender<Result<LogIndex, ReadError>>>,
+    pub(crate) last_read: u64,
+    pub(crate) addresses: BTreeMap<ReplicaId, SocketAddr>,
+}
+
+impl Driver {
+    /// Runs until `stop` is cancelled or the replica fails, then waits for the disk.
+    pub(crate) async fn run(mut self, mut inputs: Inputs, stop: CancellationToken) {
+        if let Err(failure) = self.work(&mut inputs, &stop).await {
+            log::error!("replica {} stops: {failure}", self.settings.id);
+            let failure = Some(Arc::from(failure));
+            self.status.send_modify(|status| status.failure = failure);
+        }
+        let Self { disk, status, .. } = self;
+        drop(disk);
+        while inputs.synced.recv().await.is_some() {}
+        drop(status);
+    }
+
+    async fn work(&mut self, inputs: &mut Inputs, stop: &CancellationToken) -> Result<(), String> {
+        let mut ticks = self.ticks();
+        let mut commands = Vec::with_capacity(BATCH);
+        let mut messages = Vec::with_capacity(BATCH);
+        self.carry_out()?;
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                _ = ticks.tick() => self.tick(),
+                Some(result) = inputs.synced.recv() => {
+                    let ticket = result.map_err(|error| error.to_string())?;
+                    self.replica.synced(self.clock.now(), ticket);
+                }
+                count = inputs.inbox.recv_many(&mut messages, BATCH) => {
+                    if count == 0 {
+                        return Ok(());
+                    }
+                    messages.drain(..).for_each(|envelope| self.receive(envelope));
+                }
+                count = inputs.commands.recv_many(&mut commands, BATCH) => {
+                    if count == 0 {
+                        return Ok(());
+                    }
+                    commands.drain(..).for_each(|command| self.command(command));
+                }
+            }
+            self.carry_out()?;
+            self.publish();
+        }
+    }
+
+    fn ticks(&self) -> Interval {
+        let heartbeat = self.settings.timing.heartbeat;
+        let period = (heartbeat / TICKS_PER_HEARTBEAT).max(Duration::from_millis(1));
+        let mut ticks = tokio::time::interval(period);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        ticks
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if self.clock.drifted() {
+            self.replica.distrust_clock();
+        }
+        self.replica.tick(now);
+        self.waiters.expire(now);
+        self.reads.retain(|_, waiting| !waiting.is_closed());
+    }
+
+    fn receive(&mut self, envelope: Envelope) {
+        let meant = envelope.system == self.settings.system && envelope.to == self.settings.id;
+        let from = envelope.from;
+        if !meant || from.id == self.settings.id {
+            return;
+        }
+        self.addresses.insert(from.id, envelope.address);
+        self.replica
+            .receive(self.clock.now(), from, envelope.message);
+    }
+
+    fn command(&mut self, command: Command) {
+        let now = self.clock.now();
+        let deadline = now + self.settings.answer_timeout;
+        match command {
+            Command::Propose(bytes, answer) => {
+                match self.replica.propose(now, Payload::from(bytes)) {
+                    Ok(position) => {
+                        let waiter = Waiter::Proposal(answer);
+                        self.waiters.insert(position, deadline, waiter);
+                    }
+                    Err(refusal) => drop(answer.send(Err(self.propose_error(refusal)))),
+                }
+            }
+            Command::Change(change, answer) => match self.replica.change_members(now, &change) {
+                Ok(position) => {
+                    let waiter = Waiter::Change(answer);
+                    self.waiters.insert(position, deadline, waiter);
+                }
+                Err(error) => drop(answer.send(Err(error))),
+            },
+            Command::Read(answer) => {
+                self.last_read += 1;
+                let id = ReadId::new(self.last_read);
+                self.reads.insert(id, answer);
+                self.replica.read(now, id);
+            }
+        }
+    }
+
+    fn propose_error(&self, refusal: ProposeRefusal) -> ProposeError {
+        match refusal {
+            ProposeRefusal::NotLeader => ProposeError::NotLeader {
+                leader: self.other_leader(),
+            },
+            ProposeRefusal::TooLarge => ProposeError::TooLarge,
+            ProposeRefusal::Busy => ProposeError::Busy,
+        }
+    }
+
+    /// The leader that this replica follows, with its address.
+    fn other_leader(&self) -> Option<(ReplicaId, SocketAddr)> {
+        let leader = self.replica.leader().filter(|&id| id != self.settings.id)?;
+        Some((leader, self.address_of(leader)?))
+    }
+
+    fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+        let member = self.replica.membership().get(id);
+        member
+            .map(|member| member.address)
+            .or_else(|| self.addresses.get(&id).copied())
+    }
+
+    /// Carries the machine's effects out until there are none.
+    fn carry_out(&mut self) -> Result<(), String> {
+        loop {
+            let effects = self.replica.take_effects();
+            if effects.is_empty() {
+                return Ok(());
+            }
+            for effect in effects {
+                self.carry_out_one(effect)?;
+            }
+        }
+    }
+
+    fn carry_out_one(&mut self, effect: Effect) -> Result<(), String> {
+        match effect {
+            Effect::Write { ticket, writes } => self.disk.write(ticket, writes),
+            Effect::Send { to, message } => {
+                if let Some(address) = self.address_of(to) {
+                    let envelope = Envelope {
+                        system: self.settings.system.clone(),
+                        from: self.replica.identity(),
+                        address: self.settings.address,
+                        to,
+                        message,
+                    };
+                    self.peers.send(address, envelope);
+                }
+            }
+            Effect::Apply(entries) => entries.iter().for_each(|entry| self.apply(entry)),
+            Effect::Restore(snapshot) => self.restore(&snapshot)?,
+            Effect::TakeSnapshot { position } => self.take_snapshot(position),
+            Effect::ReadReady(id) => self.answer_read(id, Ok(self.replica.applied())),
+            Effect::ReadFailed(id) => {
+                let leader = self.other_leader();
+                self.answer_read(id, Err(ReadError::NotLeader { leader }));
+            }
+            Effect::Halt { reason } => return Err(reason),
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let Position { term, index } = entry.position;
+        let answer = match &entry.content {
+            Content::Command(command) => self.state_machine.apply(index, term, command.as_slice()),
+            Content::Blank | Content::Members(_) => Vec::new(),
+        };
+        self.waiters.applied(entry.position, answer);
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) -> Result<(), String> {
+        self.waiters.restored(snapshot.position.index);
+        let bytes = snapshot.data.as_slice();
+        let restored = self.state_machine.restore(bytes);
+        restored.map_err(|error| format!("the snapshot cannot be restored: {error}"))
+    }
+
+    fn take_snapshot(&mut self, position: Position) {
+        let data = Payload::from(self.state_machine.snapshot());
+        self.replica
+            .snapshot_taken(self.clock.now(), position, data);
+    }
+
+    fn answer_read(&mut self, id: ReadId, answer: Result<LogIndex, ReadError>) {
+        if let Some(waiting) = self.reads.remove(&id) {
+            let _ = waiting.send(answer);
+        }
+    }
+
+    fn publish(&self) {
+        let status = ReplicaStatus::of(&self.replica);
+        self.status.send_if_modified(|old| {
+            let changed = *old != status;
+            *old = status;
+            changed
+        });
+    }
+}
+
+impl From<oneshot::error::RecvError> for ProposeError {
+    fn from(_: oneshot::error::RecvError) -> Self {
+        Self::Unknown
+    }
+}
+
+impl From<oneshot::error::RecvError> for ChangeError {
+    fn from(_: oneshot::error::RecvError) -> Self {
+        Self::Unknown
+    }
+}
--- /dev/null
+++ b/trefoillock-replica/src/membership.rs
@@ -0,0 +1,258 @@
+//! The replicas that belong to the system.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use displaydoc::Display;
+use trefoillock_core::{ReplicaId, data};
+
+/// The largest number of voters.
+pub const MAX_VOTERS: usize = 7;
+
+/// The identity of a data folder, drawn at random when the folder is made.
+///
+/// A blank disk that starts under the replica identity of a lost one has another disk identity,
+/// so its votes are ignored.
+#[data(key)]
+#[serde(transparent)]
+pub struct DiskId(u64);
+
+impl DiskId {
+    /// Creates the identity from its number.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// Whether a member counts towards quorums.
+#[data(key)]
+pub enum MemberRole {
+    /// The member votes and counts towards commits.
+    Voter,
+    /// The member only receives the log.
+    Learner,
+}
+
+/// A replica that belongs to the system.
+#[data]
+pub struct ReplicaMember {
+    /// The address at which the replica takes calls.
+    pub address: SocketAddr,
+    /// Whether the replica counts towards quorums.
+    pub role: MemberRole,
+    /// The disk of the replica, once it has been heard of.
+    pub disk: Option<DiskId>,
+}
+
+/// The replicas that belong to the system and those that once did.
+#[data]
+#[derive(Default)]
+pub struct Membership {
+    members: BTreeMap<ReplicaId, ReplicaMember>,
+    removed: BTreeSet<ReplicaId>,
+}
+
+/// A change of one member.
+#[data]
+pub enum MembershipChange {
+    /// Adds a replica that receives the log without voting.
+    AddLearner {
+        /// The new replica, with an identity that was never used before.
+        id: ReplicaId,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// Makes a learner a voter.
+    Promote {
+        /// The learner.
+        id: ReplicaId,
+    },
+    /// Removes a replica for good.
+    Remove {
+        /// The replica.
+        id: ReplicaId,
+    },
+}
+
+/// The reason why a change of members is refused; nothing was changed.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum ChangeError {
+    /// this replica is not the leader
+    NotLeader,
+    /// another change of members has not committed yet
+    InProgress,
+    /// replica {0} belongs to the system already
+    AlreadyMember(ReplicaId),
+    /// the identity of replica {0} was used and removed; a new replica needs a new identity
+    IdentityUsed(ReplicaId),
+    /// replica {0} does not belong to the system
+    NotMember(ReplicaId),
+    /// replica {0} is no learner
+    NotLearner(ReplicaId),
+    /// replica {0} has not caught up with the log yet
+    NotCaughtUp(ReplicaId),
+    /// the system has the largest number of voters already
+    TooManyVoters,
+    /// replica {0} is the last voter
+    LastVoter(ReplicaId),
+    /// the replica did not commit the change in time; it may yet commit
+    Unknown,
+    /// the change did not commit
+    DidNotCommit,
+}
+
+impl std::error::Error for ChangeError {}
+
+impl Membership {
+    /// Creates a membership of voters.
+    #[must_use]
+    pub fn of_voters(voters: &[(ReplicaId, SocketAddr)]) -> Self {
+        let member = |address| ReplicaMember {
+            address,
+            role: MemberRole::Voter,
+            disk: None,
+        };
+        let members = voters.iter().map(|&(id, addr)| (id, member(addr)));
+        Self {
+            members: members.collect(),
+            removed: BTreeSet::new(),
+        }
+    }
+
+    /// All members by identity.
+    #[must_use]
+    pub const fn members(&self) -> &BTreeMap<ReplicaId, ReplicaMember> {
+        &self.members
+    }
+
+    /// The number of members and removed replicas.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.members.len() + self.removed.len()
+    }
+
+    /// Whether there are no members.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// The member with an identity.
+    #[must_use]
+    pub fn get(&self, id: ReplicaId) -> Option<&ReplicaMember> {
+        self.members.get(&id)
+    }
+
+    /// The voters in order of their identities.
+    pub fn voters(&self) -> impl Iterator<Item = ReplicaId> {
+        let voter =
+            |(&id, m): (&ReplicaId, &ReplicaMember)| (m.role == MemberRole::Voter).then_some(id);
+        self.members.iter().filter_map(voter)
+    }
+
+    /// Whether a replica is a voter.
+    #[must_use]
+    pub fn is_voter(&self, id: ReplicaId) -> bool {
+        self.get(id).is_some_and(|m| m.role == MemberRole::Voter)
+    }
+
+    /// Whether a replica once belonged to the system and was removed.
+    #[must_use]
+    pub fn is_removed(&self, id: ReplicaId) -> bool {
+        self.removed.contains(&id)
+    }
+
+    /// The number of voters that form a quorum.
+    #[must_use]
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Whether the replicas for which `holds` is true include a quorum.
+    pub fn is_quorum(&self, holds: impl Fn(ReplicaId) -> bool) -> bool {
+        self.voters().filter(|&id| holds(id)).count() >= self.quorum()
+    }
+
+    /// The largest value that a quorum has reached.
+    pub fn quorum_value<T: Ord + Copy>(&self, value: impl Fn(ReplicaId) -> T) -> Option<T> {
+        let mut values: Vec<T> = self.voters().map(value).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.quorum() - 1).copied()
+    }
+
+    /// The membership after a change.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the change is not possible.
+    pub fn changed(&self, change: &MembershipChange) -> Result<Self, ChangeError> {
+        let mut next = self.clone();
+        match *change {
+            MembershipChange::AddLearner { id, address } => next.add_learner(id, address)?,
+            MembershipChange::Promote { id } => next.promote(id)?,
+            MembershipChange::Remove { id } => next.remove(id)?,
+        }
+        Ok(next)
+    }
+
+    /// The membership after the disk of a member became known.
+    #[must_use]
+    pub fn with_disk(&self, id: ReplicaId, disk: DiskId) -> Self {
+        let mut next = self.clone();
+        if let Some(member) = next.members.get_mut(&id) {
+            member.disk = Some(disk);
+        }
+        next
+    }
+
+    fn add_learner(&mut self, id: ReplicaId, address: SocketAddr) -> Result<(), ChangeError> {
+        if self.members.contains_key(&id) {
+            return Err(ChangeError::AlreadyMember(id));
+        }
+        if self.is_removed(id) {
+            return Err(ChangeError::IdentityUsed(id));
+        }
+        let learner = ReplicaMember {
+            address,
+            role: MemberRole::Learner,
+            disk: None,
+        };
+        self.members.insert(id, learner);
+        Ok(())
+    }
+
+    fn promote(&mut self, id: ReplicaId) -> Result<(), ChangeError> {
+        let voters = self.voters().count();
+        let member = self.members.get_mut(&id);
+        let member = member.ok_or(ChangeError::NotMember(id))?;
+        if member.role == MemberRole::Voter {
+            return Err(ChangeError::NotLearner(id));
+        }
+        if voters >= MAX_VOTERS {
+            return Err(ChangeError::TooManyVoters);
+        }
+        member.role = MemberRole::Voter;
+        Ok(())
+    }
+
+    fn remove(&mut self, id: ReplicaId) -> Result<(), ChangeError> {
+        if !self.members.contains_key(&id) {
+            return Err(ChangeError::NotMember(id));
+        }
+        if self.is_voter(id) && self.voters().count() == 1 {
+            return Err(ChangeError::LastVoter(id));
+        }
+        self.members.remove(&id);
+        self.removed.insert(id);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/trefoillock-replica/src/replica/append.rs
@@ -0,0 +1,135 @@
+//! The follower's side of replication.
+
+use trefoillock_core::{LogIndex, ReplicaId, Term};
+
+use crate::{
+    Append, AppendOutcome, Content, Effect, Entry, Message, Position, Replica, replica::Role,
+};
+
+impl Replica {
+    pub(super) fn on_append(&mut self, from: ReplicaId, append: Append) {
+        if !self.follow(from, append.term) {
+            self.answer_append(
+                from,
+                append.round,
+                AppendOutcome::Rejected {
+                    retry_from: append.previous.index,
+                },
+            );
+            return;
+        }
+        if !is_sequence(&append) {
+            return;
+        }
+        let Append {
+            round,
+            previous,
+            entries,
+            commit,
+            ..
+        } = append;
+        let outcome = if let Err(retry_from) = self.match_previous(previous) {
+            AppendOutcome::Rejected { retry_from }
+        } else {
+            let matched = LogIndex::new(previous.index.get() + entries.len() as u64);
+            if !self.store(entries) {
+                return;
+            }
+            self.commit = self.commit.max(commit.min(matched));
+            AppendOutcome::Accepted { matched }
+        };
+        self.answer_append(from, round, outcome);
+    }
+
+    /// Follows the leader of a term. Returns whether the term is current.
+    pub(super) fn follow(&mut self, leader: ReplicaId, term: Term) -> bool {
+        if term < self.hard_state.term || matches!(self.role, Role::Leader(_)) {
+            return false;
+        }
+        self.become_follower(term, Some(leader));
+        self.heard_at = self.now();
+        true
+    }
+
+    pub(super) fn answer_append(&mut self, to: ReplicaId, round: u64, outcome: AppendOutcome) {
+        let term = self.hard_state.term;
+        self.send(
+            to,
+            Message::AppendAnswer {
+                term,
+                round,
+                outcome,
+            },
+        );
+    }
+
+    /// Checks that the entry before the new ones is the leader's, else says where to retry.
+    fn match_previous(&self, previous: Position) -> Result<(), LogIndex> {
+        if previous.index <= self.log.base().index {
+            return Ok(()); // Entries up to the base are committed.
+        }
+        match self.log.term_at(previous.index) {
+            None => Err(self.log.last().index.next()),
+            Some(term) if term == previous.term => Ok(()),
+            Some(_) => Err(self.log.first_of_term(previous.index)),
+        }
+    }
+
+    /// Appends entries that the log lacks and drops those that conflict.
+    ///
+    /// Returns whether this was possible without dropping a committed entry.
+    fn store(&mut self, entries: Vec<Entry>) -> bool {
+        for entry in entries {
+            let index = entry.index();
+            if index <= self.log.base().index {
+                continue;
+            }
+            match self.log.term_at(index) {
+                Some(term) if term == entry.position.term => continue,
+                Some(_) if index <= self.commit => {
+                    self.effects.push(Effect::Halt {
+                        reason: format!("the leader conflicts with the committed entry {index}"),
+                    });
+                    return false;
+                }
+                Some(_) => self.truncate_from(index),
+                None => {}
+            }
+            self.push_entry(entry);
+        }
+        true
+    }
+
+    fn truncate_from(&mut self, index: LogIndex) {
+        self.log.truncate_from(index);
+        self.members.retain(|(at, _)| *at < index);
+        let last = self.log.last().index;
+        self.persisted = self.persisted.min(last);
+        for (_, written) in &mut self.in_flight {
+            *written = (*written).min(last);
+        }
+    }
+
+    pub(super) fn push_entry(&mut self, entry: Entry) {
+        let index = entry.index();
+        if let Content::Members(members) = &entry.content {
+            self.members.push((index, members.clone()));
+        }
+        self.unsaved_from = Some(self.unsaved_from.map_or(index, |from| from.min(index)));
+        self.log.push(entry);
+    }
+}
+
+/// Whether the entries follow the previous position without gaps and with rising terms.
+fn is_sequence(append: &Append) -> bool {
+    let mut last = append.previous;
+    for entry in &append.entries {
+        let position = entry.position;
+        let follows = position.index == last.index.next() && position.term >= last.term;
+        if !follows || position.term > append.term {
+            return false;
+        }
+        last = position;
+    }
+    true
+}
--- /dev/null
+++ b/trefoillock-replica/src/waiters.rs
@@ -0,0 +1,90 @@
+//! Callers that wait for an entry to commit.
+
+use std::collections::BTreeMap;
+
+use tokio::sync::oneshot;
+use trefoillock_core::{LogIndex, Term, Timestamp};
+
+use crate::{ChangeError, Position, ProposeError};
+
+/// The answer to a proposal.
+pub(crate) type ProposeAnswer = Result<(LogIndex, Vec<u8>), ProposeError>;
+/// The answer to a change of members.
+pub(crate) type ChangeAnswer = Result<(), ChangeError>;
+
+/// A caller that waits for an entry.
+#[derive(Debug)]
+pub(crate) enum Waiter {
+    Proposal(oneshot::Sender<ProposeAnswer>),
+    Change(oneshot::Sender<ChangeAnswer>),
+}
+
+impl Waiter {
+    fn committed(self, index: LogIndex, answer: Vec<u8>) {
+        match self {
+            Self::Proposal(tx) => drop(tx.send(Ok((index, answer)))),
+            Self::Change(tx) => drop(tx.send(Ok(()))),
+        }
+    }
+
+    fn did_not_commit(self) {
+        match self {
+            Self::Proposal(tx) => drop(tx.send(Err(ProposeError::DidNotCommit))),
+            Self::Change(tx) => drop(tx.send(Err(ChangeError::DidNotCommit))),
+        }
+    }
+
+    fn unknown(self) {
+        match self {
+            Self::Proposal(tx) => drop(tx.send(Err(ProposeError::Unknown))),
+            Self::Change(tx) => drop(tx.send(Err(ChangeError::Unknown))),
+        }
+    }
+}
+
+/// Callers by the entry that they wait for.
+#[derive(Debug, Default)]
+pub(crate) struct Waiters {
+    waiting: BTreeMap<(LogIndex, Term), (Timestamp, Waiter)>,
+}
+
+impl Waiters {
+    pub(crate) fn insert(&mut self, position: Position, deadline: Timestamp, waiter: Waiter) {
+        let key = (position.index, position.term);
+        self.waiting.insert(key, (deadline, waiter));
+    }
+
+    /// Answers all that wait for an index: an entry of another term proves theirs lost.
+    pub(crate) fn applied(&mut self, position: Position, answer: Vec<u8>) {
+        let mut answer = Some(answer);
+        while let Some(first) = self.waiting.first_entry()
+            && first.key().0 <= position.index
+        {
+            let ((index, term), (_, waiter)) = first.remove_entry();
+            if index < position.index {
+                waiter.unknown();
+            } else if term == position.term {
+                waiter.committed(index, answer.take().unwrap_or_default());
+            } else {
+                waiter.did_not_commit();
+            }
+        }
+    }
+
+    /// Answers all that wait for an entry within a snapshot, which does not tell its term.
+    pub(crate) fn restored(&mut self, index: LogIndex) {
+        while let Some(first) = self.waiting.first_entry()
+            && first.key().0 <= index
+        {
+            first.remove().1.unknown();
+        }
+    }
+
+    /// Answers all whose deadline has passed.
+    pub(crate) fn expire(&mut self, now: Timestamp) {
+        let late = |_: &(LogIndex, Term), (at, _): &mut (Timestamp, Waiter)| *at <= now;
+        for (_, (_, waiter)) in self.waiting.extract_if(.., late) {
+            waiter.unknown();
+        }
+    }
+}
--- /dev/null
+++ b/trefoillock-replica/tests/loopback.rs
@@ -0,0 +1,152 @@
+//! Three replicas on loopback sockets and real files.
+
+mod support;
+
+use std::path::Path;
+
+use support::{HANG_GUARD, Running, applied, leader, listener, settings, start};
+use trefoillock_core::{LogIndex, ReplicaId};
+use trefoillock_replica::{ChangeError, ProposeError, ReadError, ReplicaHandle};
+
+async fn three(root: &Path) -> Vec<Running> {
+    let mut listeners = Vec::new();
+    for _ in 0..3 {
+        listeners.push(listener().await);
+    }
+    let ids = (1..).map(ReplicaId::new);
+    let addresses = listeners.iter().map(|(_, address)| *address);
+    let peers: Vec<_> = ids.zip(addresses).collect();
+    let mut replicas = Vec::new();
+    for (id, (listener, address)) in (1..).zip(listeners) {
+        let settings = settings(root, id, address).peers(peers.clone());
+        ReplicaHandle::bootstrap(&settings).expect("an empty folder");
+        replicas.push(start(settings, listener));
+    }
+    replicas
+}
+
+/// Proposes at whichever replica leads until a command is answered.
+async fn propose(replicas: &[Running], command: &str) -> LogIndex {
+    let attempts = async {
+        loop {
+            let place = leader(replicas).await;
+            match replicas[place].handle.propose(command.into()).await {
+                Ok((index, _)) => return index,
+                Err(ProposeError::NotLeader { .. } | ProposeError::DidNotCommit) => {}
+                Err(error) => panic!("{error}"),
+            }
+        }
+    };
+    let waited = tokio::time::timeout(HANG_GUARD, attempts).await;
+    waited.expect("an answer in time")
+}
+
+async fn change<F>(mut attempt: impl FnMut() -> F)
+where
+    F: Future<Output = Result<(), ChangeError>>,
+{
+    let attempts = async {
+        while let Err(error) = attempt().await {
+            let later = matches!(error, ChangeError::InProgress | ChangeError::NotCaughtUp(_));
+            assert!(later, "{error}");
+            tokio::task::yield_now().await;
+        }
+    };
+    let waited = tokio::time::timeout(HANG_GUARD, attempts).await;
+    waited.expect("a change in time");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_leader_is_replaced_by_a_new_replica() {
+    let root = tempfile::tempdir().expect("a folder");
+    let mut replicas = three(root.path()).await;
+    propose(&replicas, "one").await;
+    let place = leader(&replicas).await;
+    let old = replicas.swap_remove(place);
+    let old_id = old.handle.status().borrow().id;
+    old.stop().await;
+
+    let second = propose(&replicas, "two").await;
+    for replica in &replicas {
+        applied(replica, second).await;
+        assert_eq!(
+            replica.journal.commands(),
+            [b"one".to_vec(), b"two".to_vec()]
+        );
+    }
+
+    let (listener, address) = listener().await;
+    let joining = settings(root.path(), 4, address);
+    ReplicaHandle::join(&joining).expect("an empty folder");
+    let id = ReplicaId::new(4);
+    replicas.push(start(joining, listener));
+    let place = leader(&replicas).await;
+    let handle = replicas[place].handle.clone();
+    change(|| handle.add_learner(id, address)).await;
+    change(|| handle.promote(id)).await;
+    change(|| handle.remove(old_id)).await;
+    let again = handle.add_learner(old_id, address).await;
+    assert_eq!(again, Err(ChangeError::IdentityUsed(old_id)));
+
+    let third = propose(&replicas, "three").await;
+    for replica in &replicas {
+        applied(replica, third).await;
+        assert_eq!(replica.journal.commands().len(), 3);
+    }
+    // A second loss right after the repair loses nothing.
+    let place = leader(&replicas).await;
+    replicas.swap_remove(place).stop().await;
+    let fourth = propose(&replicas, "four").await;
+    for replica in &replicas {
+        applied(replica, fourth).await;
+        assert_eq!(replica.journal.commands().len(), 4);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_replicas_restart_with_what_was_accepted() {
+    let root = tempfile::tempdir().expect("a folder");
+    let replicas = three(root.path()).await;
+    for n in 0..20 {
+        propose(&replicas, &n.to_string()).await;
+    }
+    for replica in replicas {
+        replica.stop().await;
+    }
+    let mut replicas = Vec::new();
+    let (free, address) = listener().await;
+    let lone = ReplicaHandle::start(
+        settings(root.path(), 1, address),
+        Box::new(support::Journal::default()),
+        tokio_util::sync::CancellationToken::new(),
+    );
+    // The addresses of the members are in the log, so a lone replica finds nobody.
+    let lone = lone.expect("a replica");
+    let refused = lone.propose(b"x".to_vec()).await;
+    assert!(matches!(refused, Err(ProposeError::NotLeader { .. })));
+    let read = lone.read_barrier().await;
+    assert!(matches!(read, Err(ReadError::NotLeader { .. })));
+    let in_use = start_again(root.path(), address);
+    assert!(in_use.contains("another process uses"), "{in_use}");
+    drop(free);
+    let members = lone.status().borrow().members.clone();
+    drop(lone);
+    for (id, member) in members.members().iter().skip(1) {
+        let listener = tokio::net::TcpListener::bind(member.address).await;
+        let settings = settings(root.path(), id.get(), member.address);
+        replicas.push(start(settings, listener.expect("the port")));
+    }
+    let last = propose(&replicas, "last").await;
+    applied(&replicas[0], last).await;
+    assert_eq!(replicas[0].journal.commands().len(), 21);
+    let place = leader(&replicas).await;
+    let read = replicas[place].handle.read_barrier().await;
+    assert!(read.expect("a current state") >= last);
+}
+
+fn start_again(root: &Path, address: std::net::SocketAddr) -> String {
+    let stop = tokio_util::sync::CancellationToken::new();
+    let machine = Box::new(support::Journal::default());
+    let again = ReplicaHandle::start(settings(root, 1, address), machine, stop);
+    again.expect_err("the folder is locked").to_string()
+}
