--- a/trefoillock-policy/src/lib.rs
+++ b/trefoillock-policy/src/lib.rs
@@ -1,1 +1,42 @@
-//! Placeholder.
+//! The decisions on calls: which backend server takes a call, whether it is admitted, retried,
+//! hedged or refused, and whether a posting may run.
+//!
+//! The package stands above `trefoillock-core` and below the packages of the peers, which do
+//! the I/O. Every type here is a pure state machine: the present time and random draws are
+//! arguments, effects are return values, and nothing locks or waits. The caller of a machine
+//! puts it into a shard under a lock of its own.
+//!
+//! ```
+//! use std::time::Duration;
+//! use trefoillock_core::{RouteClass, Timestamp};
+//! use trefoillock_policy::{Admission, Offer, Ticket};
+//!
+//! let now = Timestamp::from_secs(1);
+//! let mut admission = Admission::new(1, 10, Duration::from_millis(100));
+//! let deadline = now + Duration::from_secs(1);
+//! let first = admission.offer(now, Ticket::new(1), RouteClass::Posting, deadline);
+//! let second = admission.offer(now, Ticket::new(2), RouteClass::Lookup, deadline);
+//! assert_eq!((first, second), (Offer::Admitted, Offer::Queued));
+//! assert_eq!(admission.release(now, Ticket::new(1)), vec![Ticket::new(2)]);
+//! ```
+
+mod admission;
+mod balancer;
+mod burn;
+mod crash_tally;
+mod hedge;
+mod load_hint;
+mod quarantine;
+mod retry_budget;
+mod retry_decision;
+mod server_load;
+
+pub use admission::{Admission, Offer, Refused, Ticket};
+pub use balancer::Balancer;
+pub use burn::{BURN_WINDOWS, BurnMeter, BurnReport, BurnRow, BurnWindow};
+pub use crash_tally::CrashTally;
+pub use hedge::Hedge;
+pub use load_hint::{CallResult, LoadHint};
+pub use quarantine::Quarantine;
+pub use retry_budget::RetryBudget;
+pub use retry_decision::{Attempt, GiveUp, RetryDecision, SentState, retry_decision};
