feat(store): apply edits, move steps, cancellations and guards to the tables

Cause: nothing held the two tables; moves need one place where edit, step and end take effect. Change: TableStore applies four commands; edits are checked against base version, identity, moves on the way and pools in use; a move taken back restores the old pool in a newer version.

Conclusion: a refused edit changes nothing; a resend gets the first answer.

--- a/trefoillock-core/src/config.rs
+++ b/trefoillock-core/src/config.rs
@@ -55,7 +55,7 @@
 /// A configuration: both tables and the shares of the routes on the move.
 ///
 /// It is only ever replaced as a whole.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Config {
     version: ConfigVersion,
     tables_version: ConfigVersion,
@@ -65,6 +65,22 @@
     guards: GuardTable,
 }
 
+impl Default for Config {
+    fn default() -> Self {
+        let (tables, moves, guards) = (Tables::default(), BTreeMap::new(), GuardTable::new());
+        let zero = ConfigVersion::ZERO;
+        let hash = content_hash(zero, zero, &tables, &moves, &guards);
+        Self {
+            version: zero,
+            tables_version: zero,
+            hash,
+            tables,
+            moves,
+            guards,
+        }
+    }
+}
+
 impl Config {
     /// Creates a configuration from its parts.
     ///
--- a/trefoillock-core/src/edit.rs
+++ b/trefoillock-core/src/edit.rs
@@ -67,7 +67,7 @@
 #[derive(Display)]
 pub enum EditRefusal {
     /// conflict: {0}
-    Conflict(EditConflict),
+    Conflict(Box<EditConflict>),
     /// edit identity {0} was used before with other tables
     IdentityReused(EditId),
     /// the tables are not valid: {0}
@@ -80,6 +80,10 @@
     RouteOnTheMove(RouteName, MoveId),
     /// pool {0} is in use by move {1}
     PoolInUse(PoolName, MoveId),
+    /// pool {0} carries route {1}, so its service and version cannot change; add a pool and move the route
+    PoolRedefined(PoolName, RouteName),
+    /// route {1} starts to move away from pool {0}, so the pool must stay until the move is done
+    OldPoolMissing(PoolName, RouteName),
 }
 
 impl fmt::Display for EditConflict {
--- a/trefoillock-core/src/version.rs
+++ b/trefoillock-core/src/version.rs
@@ -65,7 +65,7 @@
     Incarnation
 );
 number_type!(
-    /// The identity of a move: the configuration version of the edit that started it.
+    /// The identity of a move; it rises in the order in which moves start.
     MoveId
 );
 
--- a/trefoillock-store/src/lib.rs
+++ b/trefoillock-store/src/lib.rs
@@ -1,1 +1,28 @@
-//! Placeholder.
+//! The replicated tables: a state machine of edits, moves and guards, and the configuration
+//! that follows from them.
+//!
+//! Every control replica applies the same [`Command`]s in the same order and so holds the same
+//! [`TableStore`]. The package does no I/O; the replicated log (`trefoillock-replica`) stands
+//! beside it and the daemon joins the two.
+//!
+//! ```
+//! use trefoillock_core::{ConfigVersion, Edit, EditId, LogIndex, Tables, Timestamp};
+//! use trefoillock_store::{Command, TableStore};
+//!
+//! let mut store = TableStore::new();
+//! let edit = Edit {
+//!     id: EditId::try_from("first").expect("a valid name"),
+//!     base: ConfigVersion::ZERO,
+//!     tables: Tables::default(),
+//!     at: Timestamp::from_secs(1),
+//! };
+//! store.apply(LogIndex::new(7), Command::Edit(edit));
+//! assert_eq!(store.config().version(), ConfigVersion::new(7));
+//! ```
+
+mod command;
+mod edits;
+mod table_store;
+
+pub use command::{CancelAnswer, Command, CommandAnswer, CommandError};
+pub use table_store::{RestoreError, TableStore};
