feat(core): carry service-level counts with the evidence

Cause: the burn report needs counts of every route at the control replicas; a second upward stream would repeat numbering and summing. Change: Evidence holds good and bad calls by route beside the moves. Conclusion: one upward stream serves judge and burn report.

--- a/trefoillock-core/src/evidence.rs
+++ b/trefoillock-core/src/evidence.rs
@@ -4,7 +4,7 @@
 
 use trefoillock_macros::data;
 
-use crate::{LatencySketch, MoveId};
+use crate::{LatencySketch, MoveId, RouteName};
 
 /// What was seen of the calls that one pool took.
 #[data]
@@ -89,12 +89,33 @@
     }
 }
 
-/// Evidence on all moves that a sender has calls for.
+/// Counts of calls against the service level of their route.
+#[data(key)]
+#[derive(Default)]
+pub struct ServiceCount {
+    /// Calls that met the target.
+    pub good: u64,
+    /// Calls that missed the target.
+    pub bad: u64,
+}
+
+impl ServiceCount {
+    /// Adds the counts of other calls.
+    pub const fn merge(&mut self, other: Self) {
+        self.good = self.good.saturating_add(other.good);
+        self.bad = self.bad.saturating_add(other.bad);
+    }
+}
+
+/// Evidence on all moves that a sender has calls for, and counts for the burn report.
 #[data]
 #[derive(Default)]
 pub struct Evidence {
     /// The evidence by move.
     pub moves: BTreeMap<MoveId, MoveEvidence>,
+    /// Service-level counts by route.
+    #[serde(default)]
+    pub service_levels: BTreeMap<RouteName, ServiceCount>,
 }
 
 impl Evidence {
@@ -103,11 +124,17 @@
         for (id, evidence) in &other.moves {
             self.moves.entry(*id).or_default().merge(evidence);
         }
+        for (route, count) in &other.service_levels {
+            self.service_levels
+                .entry(route.clone())
+                .or_default()
+                .merge(*count);
+        }
     }
 
     /// Whether nothing was counted.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.moves.is_empty()
+        self.moves.is_empty() && self.service_levels.is_empty()
     }
 }
--- a/trefoillock-core/src/lib.rs
+++ b/trefoillock-core/src/lib.rs
@@ -41,7 +41,7 @@
 pub use config::{Config, ConfigDelta, ConfigError, MoveShare};
 pub use edit::{Edit, EditAnswer, EditConflict, EditRefusal, TablesDiff};
 pub use error::{Error, Peer, Step};
-pub use evidence::{Evidence, MoveEvidence, PoolEvidence};
+pub use evidence::{Evidence, MoveEvidence, PoolEvidence, ServiceCount};
 pub use guard::{GUARD_SLOTS, GUARDS_PER_SLOT, Guard, GuardSet, GuardSlot, GuardTable};
 pub use latency_sketch::LatencySketch;
 pub use member::{Announcement, CrashReport, Fingerprint, Member, MemberState, Members, ServerId};
