feat(core): name the epoch that a guard set copies from

Cause: a guard must know for which epoch the memory of a source has to be complete. Change: GuardSet gets previous_epoch, zero by default. Conclusion: additive for stored tables.

--- a/trefoillock-core/src/guard.rs
+++ b/trefoillock-core/src/guard.rs
@@ -56,17 +56,21 @@
 
 /// The guards of one slot.
 ///
-/// A key is granted once a majority of the guards of the newest epoch took the claim. A guard
-/// that is new in an epoch first copies the claims of a majority of the guards of the epoch
-/// before, which from then on take no claim of the older epoch.
+/// A key is granted once a majority of the guards of the newest epoch took the claim. In a new
+/// epoch each guard first copies the claims of a majority of the guards of the epoch before,
+/// which from then on take no claim of the older epoch.
 #[data]
 pub struct GuardSet {
     /// The number of this set; it rises with every change of the slot.
     pub epoch: u64,
     /// The guards.
     pub guards: Vec<Guard>,
-    /// The guards of the epoch before.
+    /// The guards of an epoch before, which are copied from; empty if there is none to copy.
     pub previous: Vec<Guard>,
+    /// The epoch of `previous`. Zero if their memory need not be complete, because there was
+    /// no epoch before or its memory is lost.
+    #[serde(default)]
+    pub previous_epoch: u64,
     /// The time at which a majority of the guards was lost together with their memory. Keys
     /// that may be older than this cannot be proved to be new.
     pub lost_at: Option<Timestamp>,
