--- /dev/null
+++ b/trefoillock-moves/src/controller.rs
@@ -0,0 +1,392 @@
+//! The controller of all moves.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use trefoillock_core::{
+    Evidence, HoldReason, Members, Move, MoveEnd, MoveId, MoveState, MoveStep, PoolName,
+    RiskReason, RouteClass, Share, Tables, Timestamp,
+};
+
+use crate::{
+    judge::{Judge, Verdict},
+    node_report::NodeReport,
+    plan::{MIN_DWELL, Next, Plan},
+    servers::{PoolServers, ServerWatch},
+    track::Track,
+};
+
+/// The part of the new pool's slots that may be busy.
+const MAX_BUSY: f64 = 0.85;
+/// The share from which a route has proved the version for the postings of its service.
+const PROVEN: f64 = 0.3;
+/// By how much the earliest time must change to be reported again.
+const EARLIEST_CHANGE: Duration = Duration::from_secs(30);
+
+/// The decisions of the leader on all moves.
+///
+/// It holds soft state only. A new leader starts with an empty controller, goes on from the
+/// replicated [`Move`]s and gathers evidence of its own before it raises a share.
+#[derive(Debug, Clone, Default)]
+pub struct MoveController {
+    tracks: BTreeMap<MoveId, Track>,
+    pools: BTreeMap<PoolName, Judge>,
+    servers: ServerWatch,
+}
+
+/// What a decision on one move is based on.
+struct Scene<'a> {
+    now: Timestamp,
+    action: &'a Move,
+    class: RouteClass,
+    track: &'a Track,
+    verdict: Verdict,
+    servers: PoolServers,
+    /// Calls in flight of all routes that move to the same pool, at the next share.
+    report: NodeReport,
+    siblings: Siblings,
+}
+
+/// How the other routes fare that move to the same pool and are no postings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Siblings {
+    /// There are none, or all have proved the version.
+    Proven,
+    /// At least one has not proved it yet.
+    Unproven,
+    /// One has proved that the version is bad.
+    Bad(MoveEnd),
+}
+
+/// Where a move shall stand.
+struct Aim {
+    state: MoveState,
+    share: Share,
+}
+
+impl MoveController {
+    /// Creates a controller without evidence.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in evidence that arrived. Counts are those of the calls since the report before,
+    /// and each report is taken in at most once.
+    pub fn observe(&mut self, now: Timestamp, evidence: &Evidence) {
+        for (id, evidence) in &evidence.moves {
+            self.tracks.entry(*id).or_default().observe(now, evidence);
+        }
+    }
+
+    /// Decides on all moves: at most one step for each move that has not ended.
+    ///
+    /// `moves` holds the moves that have not ended and, if known, those that ended of late.
+    pub fn decide<'a>(
+        &mut self,
+        now: Timestamp,
+        moves: impl IntoIterator<Item = &'a Move>,
+        tables: &Tables,
+        members: &Members,
+        report: NodeReport,
+    ) -> Vec<MoveStep> {
+        let moves: Vec<&Move> = moves.into_iter().collect();
+        let active: Vec<&Move> = moves
+            .iter()
+            .copied()
+            .filter(|m| !m.state.is_final())
+            .collect();
+        self.servers.sync(now, members);
+        self.take_in(now, &active, tables, members);
+        let verdicts = self.verdicts(&active);
+        let mut steps = Vec::new();
+        for (action, verdict) in active.iter().zip(verdicts) {
+            let Some(track) = self.tracks.get(&action.id) else {
+                continue;
+            };
+            let scene = Scene {
+                now,
+                action,
+                class: class_of(action, tables),
+                track,
+                verdict,
+                servers: self.servers_of(now, action, tables, members),
+                report,
+                siblings: siblings(action, &moves, tables),
+            };
+            steps.extend(scene.step());
+        }
+        steps
+    }
+
+    /// Brings tracks and judges up to date.
+    fn take_in(&mut self, now: Timestamp, active: &[&Move], tables: &Tables, members: &Members) {
+        let ids: BTreeSet<MoveId> = active.iter().map(|action| action.id).collect();
+        self.tracks.retain(|id, _| ids.contains(id));
+        let targets: BTreeSet<&PoolName> = active.iter().map(|action| &action.to).collect();
+        self.pools.retain(|pool, _| targets.contains(pool));
+        for action in active {
+            let is_cold = self.servers_of(now, action, tables, members).is_cold();
+            let track = self.tracks.entry(action.id).or_default();
+            track.sync(action);
+            let windows = track.drain(now, is_cold);
+            self.pools
+                .entry(action.to.clone())
+                .or_default()
+                .add_windows(&windows);
+        }
+    }
+
+    /// The verdict on each move, from its own evidence and that of all moves to its pool.
+    fn verdicts(&mut self, active: &[&Move]) -> Vec<Verdict> {
+        let own: Vec<Verdict> = active
+            .iter()
+            .map(|action| match self.tracks.get(&action.id) {
+                Some(track) => track.judge.verdict(),
+                None => Verdict::Clear,
+            })
+            .collect();
+        for (action, verdict) in active.iter().zip(&own) {
+            if matches!(verdict, Verdict::Bad(_)) {
+                self.pools.remove(&action.to);
+            }
+        }
+        let with_pool = |(action, verdict): (&&Move, Verdict)| {
+            let pool = self.pools.get(&action.to).map(Judge::verdict);
+            match (verdict, pool) {
+                (Verdict::Bad(end), _) | (_, Some(Verdict::Bad(end))) => Verdict::Bad(end),
+                (Verdict::Suspect, _) => Verdict::Suspect,
+                (_, Some(Verdict::Suspect)) => Verdict::Doubtful,
+                (verdict, _) => verdict,
+            }
+        };
+        active.iter().zip(own).map(with_pool).collect()
+    }
+
+    fn servers_of(
+        &self,
+        now: Timestamp,
+        action: &Move,
+        tables: &Tables,
+        members: &Members,
+    ) -> PoolServers {
+        let pool = tables.pools().get(&action.to);
+        pool.map_or_else(PoolServers::default, |pool| {
+            self.servers.of_pool(now, members, pool)
+        })
+    }
+}
+
+impl Scene<'_> {
+    /// The step that leads to the aim, or `None` if the move stands there.
+    fn step(&self) -> Option<MoveStep> {
+        let aim = self.aim();
+        let action = self.action;
+        if aim.share == action.share && same_state(aim.state, action.state) {
+            return None;
+        }
+        Some(MoveStep {
+            id: action.id,
+            step: action.step + 1,
+            state: aim.state,
+            share: aim.share,
+            at: self.now,
+            evidence: self.evidence(),
+        })
+    }
+
+    fn evidence(&self) -> String {
+        format!(
+            "{}; {} of {} nodes report, {:.1} calls/s, {} new calls at this share",
+            self.track.judge.describe(),
+            self.report.nodes_reporting,
+            self.report.nodes_expected,
+            self.track.rate(),
+            self.track.calls_at_share(),
+        )
+    }
+
+    /// Where the move shall stand.
+    fn aim(&self) -> Aim {
+        if let Verdict::Bad(end) = self.verdict {
+            return taken_back(end);
+        }
+        if let (RouteClass::Posting, Siblings::Bad(end)) = (self.class, self.siblings) {
+            return taken_back(end);
+        }
+        if self.now >= self.action.deadline {
+            return taken_back(MoveEnd::DeadlinePassed);
+        }
+        let plan = Plan::new(self.action, self.class, self.track.rate());
+        if self.servers.is_empty() {
+            return self.without_servers(&plan);
+        }
+        if self.is_suspect() {
+            let share = self.action.share.min(plan.canary());
+            return self.at_share(&plan, share, Some(HoldReason::Suspicion));
+        }
+        match self.hold_reason(&plan) {
+            Some(reason) => self.at_share(&plan, self.action.share, Some(reason)),
+            None => self.onwards(&plan),
+        }
+    }
+
+    /// The next share, or the end, if it is time.
+    fn onwards(&self, plan: &Plan) -> Aim {
+        let share = self.action.share;
+        let kept = self.now.since(self.track.share_since());
+        let is_due = share == Share::ZERO || kept >= plan.dwell(share, self.track.share_since());
+        match plan.next(share) {
+            _ if !is_due => self.at_share(plan, share, None),
+            Next::Raise(next) => self.at_share(plan, next, None),
+            Next::Done => Aim {
+                state: MoveState::Done,
+                share: Share::FULL,
+            },
+        }
+    }
+
+    fn is_suspect(&self) -> bool {
+        self.verdict == Verdict::Suspect
+    }
+
+    /// Why the share must not be raised now, whatever the time.
+    #[expect(clippy::cast_precision_loss)]
+    fn hold_reason(&self, plan: &Plan) -> Option<HoldReason> {
+        let share = self.action.share;
+        if !self.report.is_enough() || self.track.is_silent(self.now) {
+            return Some(HoldReason::EvidenceMissing);
+        }
+        if share == Share::ZERO {
+            let must_wait =
+                self.class == RouteClass::Posting && self.siblings == Siblings::Unproven;
+            return must_wait.then_some(HoldReason::ThinEvidence);
+        }
+        let since = self.track.share_since();
+        let is_due = self.now.since(since) >= plan.dwell(share, since);
+        if !is_due {
+            return None;
+        }
+        if self.verdict == Verdict::Doubtful || self.track.cuts_at_share() > 0 {
+            return Some(HoldReason::Suspicion);
+        }
+        let needed = plan.calls_needed(share, since, self.track.rate());
+        if !self.track.is_observed(self.now) || (self.track.calls_at_share() as f64) < needed {
+            return Some(HoldReason::ThinEvidence);
+        }
+        if self.servers.is_all_cold() && share <= plan.canary() {
+            return Some(HoldReason::ColdStart);
+        }
+        let next = match plan.next(share) {
+            Next::Raise(next) => next,
+            Next::Done => Share::FULL,
+        };
+        let is_too_small =
+            self.track.busy() * next.fraction() > f64::from(self.servers.slots) * MAX_BUSY;
+        is_too_small.then_some(HoldReason::Capacity)
+    }
+
+    /// Stays at a share, and tells whether it may be done in time.
+    fn at_share(&self, plan: &Plan, share: Share, hold: Option<HoldReason>) -> Aim {
+        let earliest = plan.earliest(share, self.now);
+        let state = if earliest > self.action.deadline {
+            let reason = match hold {
+                Some(HoldReason::Capacity) => RiskReason::Capacity,
+                Some(HoldReason::ThinEvidence) => RiskReason::ThinEvidence,
+                _ => RiskReason::TimeLeft,
+            };
+            MoveState::AtRisk {
+                reason,
+                earliest: Some(earliest),
+            }
+        } else {
+            match hold {
+                Some(reason) => MoveState::Holding { reason },
+                None if share <= plan.canary() => MoveState::Canary,
+                None => MoveState::Ramping,
+            }
+        };
+        Aim { state, share }
+    }
+
+    /// Without backend servers the new pool gets no calls.
+    fn without_servers(&self, plan: &Plan) -> Aim {
+        let share = Share::ZERO;
+        let is_late = plan.earliest(share, self.now) + MIN_DWELL > self.action.deadline;
+        let state = if is_late {
+            MoveState::AtRisk {
+                reason: RiskReason::NoServers,
+                earliest: None,
+            }
+        } else if self.action.share == Share::ZERO
+            && self.action.state == MoveState::WaitingForServers
+        {
+            MoveState::WaitingForServers
+        } else {
+            MoveState::Holding {
+                reason: HoldReason::NoServers,
+            }
+        };
+        Aim { state, share }
+    }
+}
+
+const fn taken_back(end: MoveEnd) -> Aim {
+    Aim {
+        state: MoveState::TakenBack { end },
+        share: Share::ZERO,
+    }
+}
+
+/// Whether two states tell an operator the same.
+fn same_state(aim: MoveState, held: MoveState) -> bool {
+    match (aim, held) {
+        (
+            MoveState::AtRisk { reason, earliest },
+            MoveState::AtRisk {
+                reason: held_reason,
+                earliest: held_earliest,
+            },
+        ) => {
+            let (new, old) = (
+                earliest.unwrap_or_default(),
+                held_earliest.unwrap_or_default(),
+            );
+            let change = new.since(old).max(old.since(new));
+            reason == held_reason && change < EARLIEST_CHANGE
+        }
+        _ => aim == held,
+    }
+}
+
+/// The class of a move's route; a route that is gone counts as a posting.
+fn class_of(action: &Move, tables: &Tables) -> RouteClass {
+    let route = tables.routes().get(&action.route);
+    route.map_or(RouteClass::Posting, |route| route.class)
+}
+
+/// How the moves of other routes to the same pool fare.
+fn siblings(action: &Move, moves: &[&Move], tables: &Tables) -> Siblings {
+    let others = moves.iter().filter(|other| {
+        other.id != action.id
+            && other.to == action.to
+            && class_of(other, tables) != RouteClass::Posting
+    });
+    let mut result = Siblings::Proven;
+    for other in others {
+        match other.state {
+            MoveState::TakenBack { end } => {
+                let is_of_version = !matches!(end, MoveEnd::Cancelled | MoveEnd::DeadlinePassed);
+                if is_of_version && other.stepped >= action.started {
+                    return Siblings::Bad(end);
+                }
+            }
+            MoveState::Done => {}
+            _ if other.share.fraction() >= PROVEN => {}
+            _ => result = Siblings::Unproven,
+        }
+    }
+    result
+}
--- a/trefoillock-moves/src/lib.rs
+++ b/trefoillock-moves/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! Decisions on moves: the pace of a move, the judge of versions and the rules for edits.
+//!
+//! This package stands above `trefoillock-core`. It is pure: evidence and the present time go
+//! in, steps of moves come out. The leader of the control replicas holds a [`MoveController`];
+//! every node holds a [`LocalJudge`]. The method and its assumptions are described in
+//! `docs/MOVES.md`.
+//!
+//! ```
+//! use trefoillock_core::{Members, Tables, Timestamp};
+//! use trefoillock_moves::{MoveController, NodeReport};
+//!
+//! let mut controller = MoveController::new();
+//! let report = NodeReport { nodes_reporting: 3, nodes_expected: 3 };
+//! let steps = controller.decide(Timestamp::EPOCH, &[], &Tables::default(), &Members::default(), report);
+//! assert!(steps.is_empty());
+//! ```
+
+mod comparison;
+mod controller;
+mod judge;
+mod local_judge;
+mod node_report;
+mod plan;
+mod rules;
+mod servers;
+mod track;
+
+pub use comparison::{Comparison, Sample};
+pub use controller::MoveController;
+pub use judge::{Judge, Verdict};
+pub use local_judge::{CallResult, LocalJudge};
+pub use node_report::NodeReport;
+pub use rules::{MovesOfEdit, cancel_step, moves_of_edit, start_move};
--- /dev/null
+++ b/trefoillock-moves/tests/bench/mod.rs
@@ -0,0 +1,143 @@
+//! A move under scripted evidence, in virtual time.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use trefoillock_core::{
+    Announcement, DataCentre, Evidence, Incarnation, Member, MemberState, Members, Move,
+    MoveEvidence, MoveId, NodeId, PoolEvidence, PoolName, RawTables, RouteName, ServerId,
+    ServiceName, Share, Tables, Timestamp, VersionLabel,
+};
+use trefoillock_moves::{MoveController, NodeReport, start_move};
+
+const TABLES: &str = r#"{
+  "routes": [{ "name": "positions", "match": { "path_prefix": "/positions" },
+               "class": "lookup", "pool": "desk-v2", "timeout_ms": 800 }],
+  "pools": [{ "name": "desk-v1", "service": "treaty-desk", "version": "1" },
+            { "name": "desk-v2", "service": "treaty-desk", "version": "2" }]
+}"#;
+
+/// Calls of the route a second.
+const RATE: u64 = 1_000;
+
+pub(crate) struct Bench {
+    pub(crate) action: Move,
+    pub(crate) highest: Share,
+    pub(crate) lose_evidence: bool,
+    pub(crate) reporting: u32,
+    pub(crate) servers: u16,
+    now: Timestamp,
+    controller: MoveController,
+    tables: Tables,
+}
+
+impl Bench {
+    pub(crate) fn new(deadline_s: u64) -> Self {
+        let raw = RawTables::from_json(TABLES).expect("valid JSON");
+        let now = Timestamp::from_secs(1_000);
+        let name = |text| PoolName::try_from(text).expect("valid name");
+        let pools = (&name("desk-v1"), &name("desk-v2"));
+        let route = RouteName::try_from("positions").expect("valid name");
+        let deadline = Some(now + Duration::from_secs(deadline_s));
+        Self {
+            action: start_move(now, MoveId::new(1), &route, pools, deadline).expect("valid move"),
+            highest: Share::ZERO,
+            lose_evidence: false,
+            reporting: 6,
+            servers: 6,
+            now,
+            controller: MoveController::new(),
+            tables: Tables::try_from(raw).expect("valid tables"),
+        }
+    }
+
+    pub(crate) fn change_leader(&mut self) {
+        self.controller = MoveController::new();
+    }
+
+    /// Runs for some seconds; `failures` gives the failures of the old and the new pool in a
+    /// thousand calls, by the second.
+    pub(crate) fn run(&mut self, seconds: u64, failures: impl Fn(u64) -> (u64, u64)) {
+        for second in 0..seconds {
+            self.now = self.now + Duration::from_secs(1);
+            if self.action.state.is_final() {
+                return;
+            }
+            let (old, new) = failures(second);
+            self.report(old, new);
+            self.decide();
+        }
+    }
+
+    fn report(&mut self, old_permille: u64, new_permille: u64) {
+        if self.lose_evidence {
+            return;
+        }
+        let new_calls = RATE * u64::from(self.action.share.ppm()) / u64::from(Share::PARTS);
+        let evidence = MoveEvidence {
+            step: self.action.step,
+            old: pool(RATE - new_calls, old_permille),
+            new: pool(new_calls, new_permille),
+            local_cuts: 0,
+        };
+        let moves = BTreeMap::from([(self.action.id, evidence)]);
+        self.controller.observe(self.now, &Evidence { moves });
+    }
+
+    fn decide(&mut self) {
+        let report = NodeReport {
+            nodes_reporting: self.reporting,
+            nodes_expected: 6,
+        };
+        let members = members(self.servers);
+        let steps =
+            self.controller
+                .decide(self.now, [&self.action], &self.tables, &members, report);
+        assert!(steps.len() <= 1);
+        for step in steps {
+            assert_eq!(step.step, self.action.step + 1);
+            self.action.step = step.step;
+            self.action.state = step.state;
+            self.action.share = step.share;
+            self.action.stepped = step.at;
+            self.action.evidence = step.evidence;
+            self.highest = self.highest.max(step.share);
+        }
+    }
+}
+
+fn pool(calls: u64, permille: u64) -> PoolEvidence {
+    let mut pool = PoolEvidence::default();
+    let failures = calls * permille / 1_000;
+    (0..failures).for_each(|_| pool.record_failure());
+    (failures..calls).for_each(|_| pool.record_answer(Duration::from_millis(10)));
+    pool
+}
+
+fn members(servers: u16) -> Members {
+    let mut members = Members::default();
+    for number in 0..servers {
+        let address = ([127, 0, 0, 1], 9_000 + number).into();
+        let id = ServerId {
+            node: NodeId::try_from(format!("node-{number}")).expect("valid name"),
+            address,
+        };
+        let announcement = Announcement {
+            address,
+            service: ServiceName::try_from("treaty-desk").expect("valid name"),
+            version: VersionLabel::try_from("2").expect("valid name"),
+            incarnation: Incarnation::new(1),
+            slots: 9,
+            connections: 120,
+            state: MemberState::Up,
+        };
+        let member = Member {
+            id: id.clone(),
+            announcement,
+            peer_address: address,
+            data_centre: DataCentre::try_from("wa-west-a").expect("valid name"),
+            node_incarnation: Incarnation::new(1),
+        };
+        members.servers.insert(id, Arc::new(member));
+    }
+    members
+}
