--- a/trefoillock-moves/tests/bench/mod.rs
+++ b/trefoillock-moves/tests/bench/mod.rs
@@ -80,7 +80,13 @@
             local_cuts: 0,
         };
         let moves = BTreeMap::from([(self.action.id, evidence)]);
-        self.controller.observe(self.now, &Evidence { moves });
+        self.controller.observe(
+            self.now,
+            &Evidence {
+                moves,
+                ..Evidence::default()
+            },
+        );
     }
 
     fn decide(&mut self) {
