feat(policy): guard idempotency keys by majorities of nodes

Cause: a resent posting must be recognised whichever node it enters by. Change: keeper, claim, planner and their messages, with the safety argument as module docs.

--- /dev/null
+++ b/trefoillock-policy/src/guard/acks.rs
@@ -0,0 +1,48 @@
+//! Which guards are active, as the leader knows it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use trefoillock_core::{GuardSet, GuardSlot, Incarnation, NodeId};
+
+use super::GuardAck;
+
+/// The guards that told the leader that they are active.
+///
+/// A new leader starts without any and learns them from the guards, which repeat them.
+#[derive(Debug, Clone, Default)]
+pub struct GuardAcks {
+    slots: BTreeMap<GuardSlot, (u64, BTreeSet<(NodeId, Incarnation)>)>,
+}
+
+impl GuardAcks {
+    /// Creates an empty set.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that one run of a node is active. Older epochs are forgotten.
+    pub fn record(&mut self, ack: GuardAck, node: &NodeId, incarnation: Incarnation) {
+        let (epoch, guards) = self.slots.entry(ack.slot).or_default();
+        if ack.epoch < *epoch {
+            return;
+        }
+        if ack.epoch > *epoch {
+            *epoch = ack.epoch;
+            guards.clear();
+        }
+        guards.insert((node.clone(), incarnation));
+    }
+
+    /// Whether a majority of the guards of a set is active, so that the set can be changed.
+    #[must_use]
+    pub fn is_settled(&self, slot: GuardSlot, set: &GuardSet) -> bool {
+        let Some((epoch, active)) = self.slots.get(&slot) else {
+            return false;
+        };
+        let is_active = |guard: &&trefoillock_core::Guard| {
+            active.contains(&(guard.node.clone(), guard.incarnation))
+        };
+        *epoch == set.epoch && set.guards.iter().filter(is_active).count() >= set.quorum()
+    }
+}
--- /dev/null
+++ b/trefoillock-policy/src/guard/keeper.rs
@@ -0,0 +1,157 @@
+//! The memory of one node for the slots that it guards.
+
+use std::collections::BTreeMap;
+
+use trefoillock_core::{Guard, GuardSet, GuardSlot, GuardTable, Incarnation, NodeId, Timestamp};
+
+use super::{
+    ClaimAnswer, ClaimRequest, CopyAnswer, CopyRequest, FinishRequest, GuardAck, Vote,
+    slot_keeper::SlotKeeper,
+};
+
+/// The memory of one run of a node for the slots that it guards.
+///
+/// For the rules that it follows see the module. Several keepers can divide the slots of a node
+/// among them, each under its own lock.
+#[derive(Debug)]
+pub struct GuardKeeper {
+    node: NodeId,
+    incarnation: Incarnation,
+    shard: u16,
+    shards: u16,
+    slots: BTreeMap<GuardSlot, SlotKeeper>,
+}
+
+impl GuardKeeper {
+    /// Creates a keeper with empty memory for one run of a node.
+    #[must_use]
+    pub const fn new(node: NodeId, incarnation: Incarnation) -> Self {
+        Self {
+            node,
+            incarnation,
+            shard: 0,
+            shards: 1,
+            slots: BTreeMap::new(),
+        }
+    }
+
+    /// Keeps only the slots whose number leaves the remainder `shard` when divided by `shards`.
+    #[must_use]
+    pub fn for_shard(mut self, shard: u16, shards: u16) -> Self {
+        self.shard = shard;
+        self.shards = shards.max(1);
+        self
+    }
+
+    /// Takes the guard table of a newer configuration. Afterwards [`Self::copy_requests`] names
+    /// what is to be copied.
+    pub fn sync(&mut self, table: &GuardTable) {
+        for (slot, set) in table {
+            if slot.get() % self.shards == self.shard {
+                self.sync_slot(*slot, set);
+            }
+        }
+    }
+
+    fn sync_slot(&mut self, slot: GuardSlot, set: &GuardSet) {
+        let is_guard = set.guards.iter().any(|guard| self.is_self(guard));
+        if is_guard {
+            let keeper = self.slots.entry(slot).or_default();
+            keeper.adopt(set, &self.node, self.incarnation);
+        } else if let Some(keeper) = self.slots.get_mut(&slot) {
+            keeper.promise(set.epoch);
+        }
+    }
+
+    fn is_self(&self, guard: &Guard) -> bool {
+        guard.node == self.node && guard.incarnation == self.incarnation
+    }
+
+    /// The requests to copy that have not been answered. They are to be sent, and sent again
+    /// until this is empty.
+    #[must_use]
+    pub fn copy_requests(&self) -> Vec<(Guard, CopyRequest)> {
+        let mut requests = Vec::new();
+        for (slot, keeper) in &self.slots {
+            let request = |guard: &Guard| CopyRequest {
+                to: guard.incarnation,
+                slot: *slot,
+                epoch: keeper.epoch(),
+            };
+            requests.extend(
+                keeper
+                    .sources()
+                    .map(|guard| (guard.clone(), request(guard))),
+            );
+        }
+        requests
+    }
+
+    /// Answers a request to copy; `None` if it is meant for an earlier run of this node.
+    #[must_use]
+    pub fn copy(&mut self, now: Timestamp, req: &CopyRequest) -> Option<CopyAnswer> {
+        if req.to != self.incarnation {
+            return None;
+        }
+        // A slot that is not known yet gets a keeper, so that the promise is kept.
+        let keeper = self.slots.entry(req.slot).or_default();
+        Some(keeper.copy(now, req))
+    }
+
+    /// Takes the answer of a guard to a request to copy.
+    pub fn copied(&mut self, from: &Guard, answer: CopyAnswer) {
+        if let Some(keeper) = self.slots.get_mut(&answer.slot) {
+            keeper.copied(from, answer);
+        }
+    }
+
+    /// Answers a claim.
+    #[must_use]
+    pub fn claim(&mut self, now: Timestamp, req: &ClaimRequest) -> ClaimAnswer {
+        let vote = if req.to == self.incarnation {
+            match self.slots.get_mut(&req.key.slot()) {
+                Some(keeper) => keeper.claim(now, req),
+                None => Vote::Syncing,
+            }
+        } else {
+            Vote::Gone
+        };
+        ClaimAnswer {
+            id: req.id,
+            epoch: req.epoch,
+            vote,
+        }
+    }
+
+    /// Notes how the call of a claim ended.
+    pub fn finish(&mut self, now: Timestamp, req: &FinishRequest) {
+        if req.to == self.incarnation
+            && let Some(keeper) = self.slots.get_mut(&req.key.slot())
+        {
+            keeper.finish(now, req);
+        }
+    }
+
+    /// The slots in which this node is an active guard; to be sent to the leader.
+    #[must_use]
+    pub fn acks(&self) -> Vec<GuardAck> {
+        let active = self.slots.iter().filter(|(_, keeper)| keeper.is_active());
+        let ack = |(slot, keeper): (&GuardSlot, &SlotKeeper)| GuardAck {
+            slot: *slot,
+            epoch: keeper.epoch(),
+        };
+        active.map(ack).collect()
+    }
+
+    /// The number of keys that are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.slots.values().map(SlotKeeper::len).sum()
+    }
+
+    /// Whether no key is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- a/trefoillock-policy/src/lib.rs
+++ b/trefoillock-policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod balancer;
 mod burn;
 mod crash_tally;
+pub mod guard;
 mod hedge;
 mod load_hint;
 mod quarantine;
@@ -35,6 +36,12 @@
 pub use balancer::Balancer;
 pub use burn::{BURN_WINDOWS, BurnMeter, BurnReport, BurnRow, BurnWindow};
 pub use crash_tally::CrashTally;
+pub use guard::{
+    CLOCK_SKEW_MARGIN, Claim, ClaimAnswer, ClaimId, ClaimLoss, ClaimRequest, ClaimState,
+    CopyAnswer, CopyRequest, DeadGuards, Finish, FinishRequest, GuardAck, GuardAcks, GuardKeeper,
+    KEY_WINDOW, KeyEnd, KeyHash, KeyRecord, KeyState, MAX_KEYS_PER_SLOT, MAX_STORED_BODY_BYTES,
+    StoredAnswer, Vote, plan_guards, uuid_v7_time,
+};
 pub use hedge::Hedge;
 pub use load_hint::{CallResult, LoadHint};
 pub use quarantine::Quarantine;
