feat(platform): read checked settings and log numbered events

Cause: the daemons need settings, a clock that does not step, logs, signals and secrets. Conclusion: bad input is named by place and rule.

--- /dev/null
+++ b/trefoillock-platform/src/event.rs
@@ -0,0 +1,106 @@
+//! The numbered events of the logs.
+
+/// How grave an event is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Something failed that an operator should look at.
+    Error,
+    /// Something unusual happened that the system handles.
+    Warn,
+    /// A normal event of the process.
+    Info,
+}
+
+impl From<LogLevel> for log::Level {
+    fn from(level: LogLevel) -> Self {
+        match level {
+            LogLevel::Error => Self::Error,
+            LogLevel::Warn => Self::Warn,
+            LogLevel::Info => Self::Info,
+        }
+    }
+}
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $word:literal, $level:ident;)+) => {
+        /// An event that a process logs. The numbers never change their meaning.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Event {
+            $($(#[doc = $doc])+ $name,)+
+        }
+
+        impl Event {
+            /// All events, ordered by number.
+            pub const ALL: &[Self] = &[$(Self::$name),+];
+
+            /// The number of the event.
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number),+ }
+            }
+
+            /// The word that names the event.
+            #[must_use]
+            pub const fn word(self) -> &'static str {
+                match self { $(Self::$name => $word),+ }
+            }
+
+            /// How grave the event is.
+            #[must_use]
+            pub const fn level(self) -> LogLevel {
+                match self { $(Self::$name => LogLevel::$level),+ }
+            }
+
+            /// What the event means.
+            #[must_use]
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$name => concat!($($doc),+)),+ }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process has started; fields: name, roles, version.
+    ProcessStarted = 1001, "process-started", Info;
+    /// A stop signal came; calls in flight end, no new ones are taken.
+    StopRequested = 1002, "stop-requested", Info;
+    /// The process has stopped; fields: cut, the number of calls that were cut.
+    ProcessStopped = 1003, "process-stopped", Info;
+    /// A listening socket failed; fields: socket, error.
+    ListenerFailed = 1004, "listener-failed", Error;
+    /// The node took a newer configuration; fields: version, routes, pools.
+    ConfigTaken = 1101, "config-taken", Info;
+    /// A backend server announced itself or changed; fields: address, service, version, state.
+    ServerAnnounced = 1201, "server-announced", Info;
+    /// The lease of a backend server ran out; fields: address.
+    ServerLost = 1202, "server-lost", Warn;
+    /// A backend server crashed while it ran a call; fields: server, fingerprint.
+    ServerCrashed = 1203, "server-crashed", Warn;
+    /// A node cut the share of a new pool to zero on its own evidence; fields: route, move.
+    LocalCut = 1301, "local-cut", Warn;
+    /// An edit was accepted; fields: id, version, moves.
+    EditAccepted = 1401, "edit-accepted", Info;
+    /// An edit was refused; fields: id, reason.
+    EditRefused = 1402, "edit-refused", Warn;
+    /// A move has started; fields: move, route, from, to, deadline.
+    MoveStarted = 1501, "move-started", Info;
+    /// A move took a step; fields: move, step, state, share, evidence.
+    MoveStepped = 1502, "move-stepped", Info;
+    /// A move may miss its deadline; fields: move, route, reason.
+    MoveAtRisk = 1503, "move-at-risk", Warn;
+    /// A move is done; fields: move, route, evidence.
+    MoveDone = 1504, "move-done", Info;
+    /// A move was taken back; fields: move, route, reason, evidence.
+    MoveTakenBack = 1505, "move-taken-back", Warn;
+    /// The replica became leader; fields: term.
+    LeaderElected = 1601, "leader-elected", Info;
+    /// The replica is no longer leader; fields: term.
+    LeaderLost = 1602, "leader-lost", Warn;
+    /// A replica was added, promoted or removed; fields: change, replica.
+    ReplicaChanged = 1603, "replica-changed", Info;
+    /// The guards of idempotency keys changed; fields: slots.
+    GuardsChanged = 1701, "guards-changed", Info;
+    /// A request is refused everywhere because it crashed backend servers; fields: fingerprint.
+    RequestQuarantined = 1702, "request-quarantined", Warn;
+}
--- a/trefoillock-platform/src/lib.rs
+++ b/trefoillock-platform/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! What a process of trefoillock takes from its platform: settings, clock, logs, signals and
+//! secret files.
+//!
+//! The package stands above `trefoillock-core`; the daemon and the client use it, and so do the
+//! packages that log events.
+
+mod clock;
+mod event;
+mod logging;
+mod raw_settings;
+mod secret;
+mod settings;
+mod signals;
+
+pub use clock::Clock;
+pub use event::{Event, LogLevel};
+pub use logging::{LogError, LogFormat, log_event, start_logging};
+pub use secret::read_secret;
+pub use settings::{
+    ControlSettings, LogSettings, NodeSettings, ReplicaAddress, Settings, SettingsError,
+};
+pub use signals::cancel_on_signal;
--- /dev/null
+++ b/trefoillock-platform/src/raw_settings.rs
@@ -0,0 +1,61 @@
+//! Settings as operators write them, before they are checked.
+
+use std::path::PathBuf;
+
+use serde::Deserialize;
+
+use crate::LogFormat;
+
+/// The settings file.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, expecting = "an object of settings")]
+pub(crate) struct RawSettings {
+    pub(crate) name: String,
+    pub(crate) data_centre: String,
+    pub(crate) region: String,
+    pub(crate) token_file: Option<PathBuf>,
+    pub(crate) admin: String,
+    #[serde(default)]
+    pub(crate) log: RawLog,
+    pub(crate) node: Option<RawNode>,
+    pub(crate) control: Option<RawControl>,
+}
+
+/// The form of the log.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, expecting = "an object")]
+pub(crate) struct RawLog {
+    #[serde(default)]
+    pub(crate) format: LogFormat,
+    pub(crate) level: Option<String>,
+}
+
+/// The role of a node.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, expecting = "an object")]
+pub(crate) struct RawNode {
+    pub(crate) callers: String,
+    pub(crate) peers: String,
+    pub(crate) mesh: String,
+    pub(crate) backend: String,
+    pub(crate) control: Vec<String>,
+}
+
+/// The role of a control replica.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, expecting = "an object")]
+pub(crate) struct RawControl {
+    pub(crate) id: u64,
+    pub(crate) mesh: String,
+    pub(crate) operators: String,
+    pub(crate) data_folder: PathBuf,
+    pub(crate) replicas: Vec<RawReplica>,
+}
+
+/// A voter of the replicated log.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, expecting = "an object")]
+pub(crate) struct RawReplica {
+    pub(crate) id: u64,
+    pub(crate) address: String,
+}
