--- a/trefoillock-control/src/fleet_status.rs
+++ b/trefoillock-control/src/fleet_status.rs
@@ -57,7 +57,8 @@
     /// Whether every known node serves the newest version.
     #[must_use]
     pub fn is_in_force(&self) -> bool {
-        self.is_leading && self.current >= self.nodes && self.lagging.is_empty()
+        let is_whole = self.lost_count == 0 && self.versions.total() == self.nodes;
+        self.is_leading && is_whole && self.current == self.nodes && self.lagging.is_empty()
     }
 
     /// The node that serves the oldest version, if any serves an older one.
--- a/trefoillock-control/src/member_table.rs
+++ b/trefoillock-control/src/member_table.rs
@@ -168,10 +168,9 @@
         guards.collect()
     }
 
-    /// The record of a node.
-    #[must_use]
-    pub fn record(&self, node: &NodeId) -> Option<&NodeRecord> {
-        self.nodes.get(node).map(|entry| &entry.record)
+    /// The nodes that are known.
+    pub fn nodes(&self) -> impl Iterator<Item = &NodeId> {
+        self.nodes.keys()
     }
 
     /// The records of the attached nodes.
--- a/trefoillock-control/src/source_machine.rs
+++ b/trefoillock-control/src/source_machine.rs
@@ -8,8 +8,8 @@
 };
 
 use trefoillock_core::{
-    Config, CrashReport, DataCentre, Evidence, Fingerprint, Guard, Members, MembersVersion, Term,
-    Timestamp,
+    Config, CrashReport, DataCentre, Evidence, Fingerprint, Guard, Members, MembersVersion, NodeId,
+    Term, Timestamp,
 };
 
 use crate::{
@@ -412,6 +412,11 @@
         }
     }
 
+    /// The nodes that are known.
+    pub fn known_nodes(&self) -> impl Iterator<Item = NodeId> {
+        self.table.nodes().cloned()
+    }
+
     /// Who serves what.
     #[must_use]
     pub fn status(&self) -> FleetStatus {
--- /dev/null
+++ b/trefoillock-stand-ins/src/fleet/sample.rs
@@ -0,0 +1,113 @@
+//! Configurations, announcements and evidence of a given size.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use trefoillock_core::{
+    Announcement, Config, ConfigVersion, DataCentre, GUARDS_PER_SLOT, Guard, GuardSet, GuardSlot,
+    GuardTable, Incarnation, MemberState, RawMatch, RawPool, RawPoolPolicy, RawRoute, RawTables,
+    Tables,
+};
+
+use super::place;
+
+/// The number of routes of a service.
+const ROUTES_PER_SERVICE: usize = 3;
+/// The number of pools of a service: the old version and the new one.
+const POOLS_PER_SERVICE: usize = 2;
+
+/// A configuration of `services` services, whose content depends on its version.
+///
+/// # Panics
+///
+/// Never: the tables are valid.
+#[must_use]
+pub fn config(version: u64, services: usize, guards: GuardTable) -> Arc<Config> {
+    let mut raw = RawTables::default();
+    for service in 0..services {
+        for pool in 0..POOLS_PER_SERVICE {
+            raw.pools.push(pool_row(service, pool));
+        }
+        for route in 0..ROUTES_PER_SERVICE {
+            raw.routes.push(route_row(version, service, route));
+        }
+    }
+    let tables = Tables::try_from(raw).expect("valid tables");
+    let version = ConfigVersion::new(version);
+    let config = Config::new(version, version, tables, BTreeMap::new(), guards);
+    Arc::new(config.expect("a consistent configuration"))
+}
+
+fn pool_row(service: usize, pool: usize) -> RawPool {
+    RawPool {
+        name: format!("service-{service:03}-v{pool}"),
+        service: format!("service-{service:03}"),
+        version: format!("v{pool}"),
+        policy: RawPoolPolicy::default(),
+    }
+}
+
+/// The route that a version changes is the one whose number is the version.
+fn route_row(version: u64, service: usize, route: usize) -> RawRoute {
+    let number = service * ROUTES_PER_SERVICE + route;
+    let changed = usize::try_from(version).is_ok_and(|version| version % 64 == number % 64);
+    let class = ["lookup", "posting", "export"][route % 3];
+    RawRoute {
+        name: format!("service-{service:03}-{class}"),
+        matches: RawMatch {
+            host: Some(format!("service-{service:03}.mesh.example")),
+            path_prefix: format!("/{class}"),
+            method: None,
+        },
+        class: class.to_owned(),
+        pool: format!("service-{service:03}-v0"),
+        timeout_ms: if changed { 900 } else { 800 },
+        target: None,
+        move_deadline: None,
+    }
+}
+
+/// Guards of all slots, spread over `nodes` nodes.
+#[must_use]
+pub fn guards(nodes: usize) -> GuardTable {
+    let set = |slot: GuardSlot| {
+        let first = usize::from(slot.get()) * GUARDS_PER_SLOT;
+        let guards = (first..first + GUARDS_PER_SLOT).map(|at| guard(at % nodes.max(1)));
+        GuardSet {
+            epoch: 1,
+            guards: guards.collect(),
+            previous: Vec::new(),
+            lost_at: None,
+        }
+    };
+    GuardSlot::all().map(|slot| (slot, set(slot))).collect()
+}
+
+fn guard(at: usize) -> Guard {
+    Guard {
+        node: place::node_name(at),
+        incarnation: Incarnation::new(1),
+        peer_address: place::node_address(at),
+        data_centre: DataCentre::try_from("dc-0").unwrap_or_else(|_| unreachable!("a valid name")),
+    }
+}
+
+/// The announcement of the backend server beside a node.
+///
+/// # Panics
+///
+/// Never: the names are valid.
+#[must_use]
+pub fn announcement(node: usize, incarnation: u64, services: usize) -> Announcement {
+    let service = node % services.max(1);
+    Announcement {
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        service: format!("service-{service:03}")
+            .try_into()
+            .expect("a valid name"),
+        version: "v0".try_into().expect("a valid name"),
+        incarnation: Incarnation::new(incarnation),
+        slots: 9,
+        connections: 120,
+        state: MemberState::Up,
+    }
+}
