--- /dev/null
+++ b/trefoillock-operator/src/server.rs
@@ -0,0 +1,201 @@
+//! The server of the operators' interface.
+
+use std::{future::Future, sync::Arc};
+
+use http_body_util::{BodyExt, Limited};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use trefoillock_core::{
+    ConfigVersion, Edit, EditAnswer, EditRefusal, Error, Peer, RawTables, Step, TableErrors, Tables,
+};
+use trefoillock_rpc::Token;
+use viz::{Request, RequestExt, Response, ResponseExt, Router, StatusCode, header};
+
+use crate::{
+    ApiError, ApiErrorKind, CheckReport, EditReport, EditRequest, OperatorService,
+    messages::parse_move_id,
+};
+
+/// The largest body of a request, in bytes.
+pub const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+
+/// The service and the token that requests must carry.
+#[derive(Clone)]
+struct Cx {
+    service: Arc<dyn OperatorService>,
+    token: Token,
+}
+
+/// Serves the operators' interface on a listening socket until `stop` is cancelled and requests
+/// in flight have ended.
+///
+/// # Errors
+///
+/// Returns an error if the socket fails.
+pub async fn serve(
+    listener: TcpListener,
+    service: Arc<dyn OperatorService>,
+    token: Token,
+    stop: CancellationToken,
+) -> Result<(), Error> {
+    let place = listener
+        .local_addr()
+        .map_or_else(|_| "?".to_owned(), |addr| addr.to_string());
+    let router = router(&Cx { service, token });
+    viz::serve(listener, router)
+        .signal(stop.cancelled_owned())
+        .await
+        .map_err(|error| Error::new(Step::Listen, Peer::Operator(place), error))
+}
+
+fn router(cx: &Cx) -> Router {
+    Router::new()
+        .get(
+            "/v1/status",
+            handler(cx, |cx, _| async move { cx.service.status().await }),
+        )
+        .get(
+            "/v1/tables",
+            handler(cx, |cx, _| async move { cx.service.tables().await }),
+        )
+        .post(
+            "/v1/check",
+            handler(cx, |cx, req| async move { check(&cx, req).await }),
+        )
+        .post(
+            "/v1/edits",
+            handler(cx, |cx, req| async move { edit(&cx, req).await }),
+        )
+        .get(
+            "/v1/moves",
+            handler(cx, |cx, _| async move { cx.service.moves().await }),
+        )
+        .post(
+            "/v1/moves/:id/cancel",
+            handler(cx, |cx, req| async move { cancel(&cx, req).await }),
+        )
+        .get(
+            "/v1/members",
+            handler(cx, |cx, _| async move { cx.service.members().await }),
+        )
+        .get(
+            "/v1/burn",
+            handler(cx, |cx, _| async move { cx.service.burn().await }),
+        )
+        .post(
+            "/v1/replicas",
+            handler(cx, |cx, req| async move {
+                let change = read_json(req).await?;
+                cx.service.change_replicas(change).await
+            }),
+        )
+}
+
+/// Wraps a request handler: checks the token and writes the reply or the error as JSON.
+fn handler<F, R, T>(
+    cx: &Cx,
+    handle: F,
+) -> impl Fn(Request) -> futures::future::BoxFuture<'static, viz::Result<Response>>
++ Clone
++ Send
++ Sync
++ 'static
+where
+    F: Fn(Cx, Request) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Result<T, ApiError>> + Send + 'static,
+    T: Serialize + Send + 'static,
+{
+    let cx = cx.clone();
+    move |req| {
+        let (cx, handle) = (cx.clone(), handle.clone());
+        Box::pin(async move {
+            let bearer = req.headers().get(header::AUTHORIZATION);
+            let reply = if cx.token.allows(bearer.map(header::HeaderValue::as_bytes)) {
+                handle(cx, req).await
+            } else {
+                Err(ApiError::new(
+                    ApiErrorKind::Unauthorized,
+                    "the token is missing or wrong",
+                ))
+            };
+            Ok(write_reply(reply))
+        })
+    }
+}
+
+fn write_reply<T: Serialize>(reply: Result<T, ApiError>) -> Response {
+    let reply = reply.and_then(|reply| {
+        Response::json(reply)
+            .map_err(|error| ApiError::new(ApiErrorKind::Internal, error.to_string()))
+    });
+    match reply {
+        Ok(res) => res,
+        Err(error) => {
+            let status = StatusCode::from_u16(error.kind.status());
+            let mut res = Response::json(error).unwrap_or_default();
+            *res.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            res
+        }
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(mut req: Request) -> Result<T, ApiError> {
+    let bad = |message: String| ApiError::new(ApiErrorKind::BadRequest, message);
+    let body = req.incoming().map_err(|error| bad(error.to_string()))?;
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    let body = body.map_err(|error| bad(format!("the body cannot be read: {error}")))?;
+    serde_json::from_slice(&body.to_bytes())
+        .map_err(|error| bad(format!("the body is not the expected JSON: {error}")))
+}
+
+fn read_tables(value: &serde_json::Value) -> Result<Tables, TableErrors> {
+    RawTables::from_value(value).and_then(Tables::try_from)
+}
+
+async fn check(cx: &Cx, req: Request) -> Result<CheckReport, ApiError> {
+    let value = read_json(req).await?;
+    match read_tables(&value) {
+        Ok(tables) => cx.service.check(tables).await,
+        Err(errors) => Ok(CheckReport {
+            errors: Some(errors),
+            difference: None,
+            tables_version: ConfigVersion::ZERO,
+        }),
+    }
+}
+
+async fn edit(cx: &Cx, req: Request) -> Result<EditReport, ApiError> {
+    let req: EditRequest = read_json(req).await?;
+    let tables = match read_tables(&req.tables) {
+        Ok(tables) => tables,
+        Err(errors) => {
+            return Ok(EditReport {
+                answer: EditAnswer::Refused(EditRefusal::Invalid(errors)),
+            });
+        }
+    };
+    let at = cx.service.now();
+    cx.service
+        .edit(Edit {
+            id: req.id,
+            base: req.base,
+            tables,
+            at,
+        })
+        .await
+}
+
+async fn cancel(cx: &Cx, req: Request) -> Result<crate::CancelReport, ApiError> {
+    let id = req
+        .param::<String>("id")
+        .ok()
+        .and_then(|id| parse_move_id(&id));
+    match id {
+        Some(id) => cx.service.cancel(id).await,
+        None => Err(ApiError::new(
+            ApiErrorKind::BadRequest,
+            "the move's identity is a number",
+        )),
+    }
+}
