--- /dev/null
+++ b/trefoilctl/src/commands.rs
@@ -0,0 +1,186 @@
+//! The commands.
+
+use std::{fs, path::Path, time::Duration};
+
+use serde::Serialize;
+use serde_json::Value;
+use trefoillock_core::{ConfigVersion, EditAnswer, EditId, EditRefusal, RawTables, Tables};
+use trefoillock_operator::{
+    ApiErrorKind, CheckReport, ClientError, EditReport, EditRequest, OperatorClient,
+};
+use trefoillock_platform::read_secret;
+use trefoillock_rpc::Token;
+use trefoillock_store::CancelAnswer;
+
+use crate::{
+    args::{Command, Options, Shown},
+    exit::Exit,
+    render, watch,
+};
+
+/// The pause between two looks at the moves.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+
+/// A failure with the exit code that tells it.
+struct Failure(Exit, String);
+
+impl From<ClientError> for Failure {
+    fn from(error: ClientError) -> Self {
+        let exit = match &error {
+            ClientError::Unreachable(_) => Exit::Unreachable,
+            ClientError::Api(api) if api.kind == ApiErrorKind::BadRequest => Exit::Usage,
+            ClientError::Api(_) => Exit::Refused,
+        };
+        Self(exit, error.to_string())
+    }
+}
+
+type Outcome = Result<Exit, Failure>;
+
+/// Runs a command and prints its result.
+pub(crate) async fn run(options: Options, command: Command) -> Exit {
+    match dispatch(&options, command).await {
+        Ok(exit) => exit,
+        Err(Failure(exit, message)) => {
+            eprintln!("trefoilctl: {message}");
+            exit
+        }
+    }
+}
+
+async fn dispatch(options: &Options, command: Command) -> Outcome {
+    let token = match &options.token_file {
+        Some(file) => {
+            let secret = read_secret(file).map_err(|e| Failure(Exit::Usage, e.to_string()))?;
+            Token::new(&secret)
+        }
+        None => Token::none(),
+    };
+    let client = OperatorClient::new(options.control.clone(), token);
+    let json = options.json;
+    match command {
+        Command::Check { file } => check(&file, json),
+        Command::Diff { file }
+        | Command::Apply {
+            file,
+            dry_run: true,
+            ..
+        } => diff(&client, &file, json).await,
+        Command::Apply {
+            file,
+            base,
+            id,
+            dry_run: false,
+        } => apply(&client, &file, base, id, json).await,
+        Command::Show(shown) => show(&client, shown, json).await,
+        Command::Moves => print(json, &client.moves().await?, render::moves),
+        Command::Watch { id } => Ok(watch::watch(&client, id, json, WATCH_PAUSE).await?),
+        Command::Cancel { id } => {
+            let report = client.cancel(id).await?;
+            print(json, &report, |report| render::cancel(report.answer))?;
+            Ok(match report.answer {
+                CancelAnswer::TakenBack => Exit::Success,
+                CancelAnswer::AlreadyEnded | CancelAnswer::Unknown => Exit::Refused,
+            })
+        }
+        Command::Status => print(json, &client.status().await?, render::status),
+        Command::Burn => print(json, &client.burn().await?, render::burn),
+        Command::Replicas(change) => print(
+            json,
+            &client.change_replicas(&change).await?,
+            render::status,
+        ),
+    }
+}
+
+/// Prints a report as JSON or as text.
+fn print<T: Serialize>(json: bool, report: &T, render: impl Fn(&T) -> String) -> Outcome {
+    if json {
+        let text = serde_json::to_string(report);
+        let text = text.map_err(|error| Failure(Exit::Usage, error.to_string()))?;
+        println!("{text}");
+    } else {
+        print!("{}", render(report));
+    }
+    Ok(Exit::Success)
+}
+
+fn read(file: &Path) -> Result<Value, Failure> {
+    let failure = |rule: String| Failure(Exit::Usage, format!("{}: {rule}", file.display()));
+    let text = fs::read_to_string(file).map_err(|e| failure(format!("cannot be read: {e}")))?;
+    serde_json::from_str(&text).map_err(|e| failure(format!("is not JSON: {e}")))
+}
+
+fn check(file: &Path, json: bool) -> Outcome {
+    let value = read(file)?;
+    let errors = RawTables::from_value(&value)
+        .and_then(Tables::try_from)
+        .err();
+    let exit = if errors.is_some() {
+        Exit::Usage
+    } else {
+        Exit::Success
+    };
+    let report = CheckReport {
+        errors,
+        difference: None,
+        tables_version: ConfigVersion::ZERO,
+    };
+    print(json, &report, render::check)?;
+    Ok(exit)
+}
+
+async fn diff(client: &OperatorClient, file: &Path, json: bool) -> Outcome {
+    let report = client.check(&read(file)?).await?;
+    print(json, &report, render::check)?;
+    Ok(match &report.difference {
+        None => Exit::Usage,
+        Some(difference) if difference.is_empty() => Exit::Success,
+        Some(_) => Exit::Different,
+    })
+}
+
+async fn apply(
+    client: &OperatorClient,
+    file: &Path,
+    base: Option<ConfigVersion>,
+    id: Option<EditId>,
+    json: bool,
+) -> Outcome {
+    let tables = read(file)?;
+    let base = match base {
+        Some(base) => base,
+        None => client.tables().await?.tables_version,
+    };
+    let id = match id {
+        Some(id) => id,
+        None => new_identity()?,
+    };
+    eprintln!("edit identity {id}, based on version {base}");
+    let report = client.edit(&EditRequest { id, base, tables }).await?;
+    print(json, &report, render::edit)?;
+    Ok(exit_of(&report))
+}
+
+fn new_identity() -> Result<EditId, Failure> {
+    let text = format!("edit-{:016x}", rand::random::<u64>());
+    EditId::try_from(text).map_err(|error| Failure(Exit::Usage, error.to_string()))
+}
+
+const fn exit_of(report: &EditReport) -> Exit {
+    match &report.answer {
+        EditAnswer::Accepted { .. } => Exit::Success,
+        EditAnswer::Refused(EditRefusal::Conflict(_)) => Exit::Conflict,
+        EditAnswer::Refused(EditRefusal::Invalid(_)) => Exit::Usage,
+        EditAnswer::Refused(_) => Exit::Refused,
+    }
+}
+
+async fn show(client: &OperatorClient, shown: Shown, json: bool) -> Outcome {
+    match shown {
+        Shown::Routes => print(json, &client.tables().await?, render::routes),
+        Shown::Pools => print(json, &client.tables().await?, render::pools),
+        Shown::Members => print(json, &client.members().await?, render::members),
+        Shown::Version => print(json, &client.tables().await?, render::version),
+    }
+}
--- /dev/null
+++ b/trefoilctl/src/render.rs
@@ -0,0 +1,264 @@
+//! Reports as text for people.
+
+use std::fmt::Write as _;
+
+use trefoillock_core::{EditAnswer, EditRefusal, Move, MoveState, RouteClass, TablesDiff};
+use trefoillock_operator::{
+    BurnReport, CheckReport, EditReport, MembersReport, MovesReport, StatusReport, TablesReport,
+};
+use trefoillock_store::CancelAnswer;
+
+/// Lays rows out in columns.
+fn table(head: &[&str], rows: &[Vec<String>]) -> String {
+    let mut widths: Vec<usize> = head.iter().map(|cell| cell.len()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let mut out = String::new();
+    let head: Vec<String> = head.iter().map(|cell| (*cell).to_owned()).collect();
+    for row in std::iter::once(&head).chain(rows) {
+        let mut line = String::new();
+        for (width, cell) in widths.iter().zip(row) {
+            let _ = write!(line, "{cell:<width$}  ");
+        }
+        let _ = writeln!(out, "{}", line.trim_end());
+    }
+    out
+}
+
+pub(crate) fn routes(report: &TablesReport) -> String {
+    let rows = report.tables.routes.iter().map(|route| {
+        let host = route.matches.host.as_deref().unwrap_or("*");
+        let method = route.matches.method.as_deref().unwrap_or("*");
+        vec![
+            route.name.clone(),
+            format!("{method} {host}{}", route.matches.path_prefix),
+            route.class.clone(),
+            route.pool.clone(),
+            format!("{} ms", route.timeout_ms),
+            route.move_deadline.clone().unwrap_or_default(),
+        ]
+    });
+    let rows: Vec<Vec<String>> = rows.collect();
+    table(
+        &["ROUTE", "MATCH", "CLASS", "POOL", "TIMEOUT", "DEADLINE"],
+        &rows,
+    )
+}
+
+pub(crate) fn pools(report: &TablesReport) -> String {
+    let rows = report.tables.pools.iter().map(|pool| {
+        let slots = pool.policy.slots.map(|slots| slots.to_string());
+        vec![
+            pool.name.clone(),
+            pool.service.clone(),
+            pool.version.clone(),
+            slots.unwrap_or_default(),
+        ]
+    });
+    table(
+        &["POOL", "SERVICE", "VERSION", "SLOTS"],
+        &rows.collect::<Vec<_>>(),
+    )
+}
+
+pub(crate) fn members(report: &MembersReport) -> String {
+    let rows = report.members.iter().map(|member| {
+        vec![
+            member.id.to_string(),
+            member.data_centre.to_string(),
+            member.service.to_string(),
+            member.version.to_string(),
+            format!("{:?}", member.state).to_lowercase(),
+        ]
+    });
+    table(
+        &["SERVER", "DATA CENTRE", "SERVICE", "VERSION", "STATE"],
+        &rows.collect::<Vec<_>>(),
+    )
+}
+
+pub(crate) fn version(report: &TablesReport) -> String {
+    format!(
+        "configuration {}, tables {}\n",
+        report.version, report.tables_version
+    )
+}
+
+pub(crate) fn moves(report: &MovesReport) -> String {
+    let rows = report.moves.iter().map(|m| {
+        vec![
+            m.id.to_string(),
+            m.route.to_string(),
+            format!("{} -> {}", m.from, m.to),
+            m.state.to_string(),
+            m.share.to_string(),
+            m.deadline.to_string(),
+            m.evidence.clone(),
+        ]
+    });
+    let head = [
+        "MOVE", "ROUTE", "POOLS", "STATE", "SHARE", "DEADLINE", "EVIDENCE",
+    ];
+    table(&head, &rows.collect::<Vec<_>>())
+}
+
+/// The width of a progress bar, in characters.
+const BAR_WIDTH: usize = 20;
+
+/// One line that tells where a move stands.
+pub(crate) fn progress(m: &Move) -> String {
+    let filled = m.share.ppm() as usize * BAR_WIDTH / 1_000_000;
+    let bar = format!("{}{}", "#".repeat(filled), ".".repeat(BAR_WIDTH - filled));
+    let reason = match m.state {
+        MoveState::Holding { reason } => format!(" ({reason:?})"),
+        MoveState::AtRisk { reason, earliest } => {
+            let earliest = earliest
+                .map(|at| format!(", earliest {at}"))
+                .unwrap_or_default();
+            format!(" ({reason:?}{earliest})")
+        }
+        MoveState::TakenBack { end } => format!(" ({end:?})"),
+        _ => String::new(),
+    };
+    format!(
+        "move {} {} [{bar}] {} {}{reason} until {} {}",
+        m.id, m.route, m.share, m.state, m.deadline, m.evidence
+    )
+}
+
+pub(crate) fn cancel(answer: CancelAnswer) -> String {
+    match answer {
+        CancelAnswer::TakenBack => "the move is taken back\n",
+        CancelAnswer::AlreadyEnded => "the move had ended before\n",
+        CancelAnswer::Unknown => "there is no such move\n",
+    }
+    .to_owned()
+}
+
+pub(crate) fn check(report: &CheckReport) -> String {
+    if let Some(errors) = &report.errors {
+        let lines = errors.as_slice().iter().map(|error| format!("{error}\n"));
+        return lines.collect();
+    }
+    match &report.difference {
+        None => "the tables are valid\n".to_owned(),
+        Some(difference) if difference.is_empty() => "no difference\n".to_owned(),
+        Some(difference) => diff(difference),
+    }
+}
+
+fn diff(difference: &TablesDiff) -> String {
+    let mut out = String::new();
+    let mut list = |sign: char, kind: &str, names: Vec<String>| {
+        for name in names {
+            let _ = writeln!(out, "{sign} {kind} {name}");
+        }
+    };
+    let text =
+        |names: &[trefoillock_core::RouteName]| names.iter().map(ToString::to_string).collect();
+    list('+', "route", text(&difference.routes_added));
+    list('-', "route", text(&difference.routes_removed));
+    list('~', "route", text(&difference.routes_changed));
+    let text =
+        |names: &[trefoillock_core::PoolName]| names.iter().map(ToString::to_string).collect();
+    list('+', "pool", text(&difference.pools_added));
+    list('-', "pool", text(&difference.pools_removed));
+    list('~', "pool", text(&difference.pools_changed));
+    out
+}
+
+pub(crate) fn edit(report: &EditReport) -> String {
+    match &report.answer {
+        EditAnswer::Accepted { version, moves } if moves.is_empty() => {
+            format!("accepted as version {version}\n")
+        }
+        EditAnswer::Accepted { version, moves } => {
+            let moves: Vec<String> = moves.iter().map(ToString::to_string).collect();
+            format!(
+                "accepted as version {version}; moves started: {}\n",
+                moves.join(", ")
+            )
+        }
+        EditAnswer::Refused(EditRefusal::Conflict(conflict)) => {
+            format!("refused: {conflict}\n{}", diff(&conflict.difference))
+        }
+        EditAnswer::Refused(refusal) => format!("refused: {refusal}\n"),
+    }
+}
+
+pub(crate) fn status(report: &StatusReport) -> String {
+    let mut out = format!(
+        "configuration {} (tables {}), term {}\n{} of {} nodes are current, {} moves running\n",
+        report.version,
+        report.tables_version,
+        report.term,
+        report.current(),
+        report.nodes,
+        report.running_moves
+    );
+    for count in &report.versions {
+        let _ = writeln!(out, "  version {}: {} nodes", count.version, count.nodes);
+    }
+    for node in &report.lagging {
+        let _ = writeln!(out, "  lagging: {node}");
+    }
+    let rows = report.replicas.iter().map(|replica| {
+        let role = match (replica.leader, replica.voter) {
+            (true, _) => "leader",
+            (false, true) => "voter",
+            (false, false) => "learner",
+        };
+        vec![
+            replica.id.to_string(),
+            replica.address.to_string(),
+            role.to_owned(),
+        ]
+    });
+    out + &table(&["REPLICA", "ADDRESS", "ROLE"], &rows.collect::<Vec<_>>())
+}
+
+pub(crate) fn burn(report: &BurnReport) -> String {
+    let mut head = vec!["ROUTE OR CLASS".to_owned(), "TARGET".to_owned()];
+    let windows = report
+        .rows
+        .first()
+        .map(|row| row.windows.as_slice())
+        .unwrap_or_default();
+    head.extend(windows.iter().map(|window| span(window.seconds)));
+    let mut rows = Vec::new();
+    for row in &report.rows {
+        let good = f64::from(row.target.good_ppm) / 10_000.0;
+        let mut cells = vec![
+            row.route.to_string(),
+            format!("{good}% in {} ms", row.target.latency_ms),
+        ];
+        cells.extend(
+            row.windows
+                .iter()
+                .map(|w| format!("{:.2}", w.burn_rate(row.target))),
+        );
+        rows.push(cells);
+    }
+    for class in RouteClass::ALL {
+        let sums = report.of_class(class);
+        if !sums.is_empty() {
+            let mut cells = vec![format!("[{}]", class.as_str()), "bad/all".to_owned()];
+            cells.extend(sums.iter().map(|w| format!("{}/{}", w.bad, w.good + w.bad)));
+            rows.push(cells);
+        }
+    }
+    let head: Vec<&str> = head.iter().map(String::as_str).collect();
+    table(&head, &rows)
+}
+
+/// A window's length as text.
+fn span(seconds: u64) -> String {
+    match seconds {
+        s if s >= 86_400 => format!("{} d", s / 86_400),
+        s if s >= 3_600 => format!("{} h", s / 3_600),
+        s => format!("{} min", s / 60),
+    }
+}
