--- /dev/null
+++ b/trefoillock-backend/src/announcements.rs
@@ -0,0 +1,178 @@
+//! The leases of the backend servers beside a node, as a pure state machine.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use displaydoc::Display;
+use trefoillock_core::{Announcement, Incarnation, MemberState, ServiceName, Timestamp};
+
+use crate::LoadReport;
+
+/// The largest number of backend servers beside one node.
+const MAX_SERVERS: usize = 64;
+
+/// Why an announcement was not taken.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum AnnounceError {
+    /// incarnation {offered} is lower than the held incarnation {held}
+    LowerIncarnation {
+        /// The incarnation that was offered.
+        offered: Incarnation,
+        /// The incarnation that is held.
+        held: Incarnation,
+    },
+    /// the address {address} is leased to a backend server of {service}
+    AddressClash {
+        /// The address.
+        address: SocketAddr,
+        /// The service of the backend server that holds the lease.
+        service: ServiceName,
+    },
+    /// a backend server that drains takes work again only in a higher incarnation than {0}
+    DrainReverted(Incarnation),
+    /// slots and connections must be at least 1
+    NoCapacity,
+    /// at most 64 backend servers may announce themselves to one node
+    TooMany,
+    /// no backend server announced the address {0}
+    Unknown(SocketAddr),
+}
+
+impl std::error::Error for AnnounceError {}
+
+#[derive(Debug, Clone)]
+struct Lease {
+    announcement: Announcement,
+    load: LoadReport,
+    expires: Timestamp,
+}
+
+/// The backend servers that hold a lease, by address.
+#[derive(Debug, Default)]
+pub struct Announcements {
+    leases: BTreeMap<SocketAddr, Lease>,
+    lease: Duration,
+}
+
+impl Announcements {
+    /// Creates an empty list whose leases last for `lease`.
+    #[must_use]
+    pub const fn new(lease: Duration) -> Self {
+        Self {
+            leases: BTreeMap::new(),
+            lease,
+        }
+    }
+
+    /// Takes or renews an announcement. Returns whether the list has changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and changes nothing, if the announcement contradicts a lease that is
+    /// still held.
+    pub fn announce(
+        &mut self,
+        announcement: Announcement,
+        now: Timestamp,
+    ) -> Result<bool, AnnounceError> {
+        if announcement.slots == 0 || announcement.connections == 0 {
+            return Err(AnnounceError::NoCapacity);
+        }
+        let expires = now + self.lease;
+        let held = self
+            .leases
+            .get(&announcement.address)
+            .filter(|held| held.expires > now);
+        match held {
+            Some(held) => check_successor(&held.announcement, &announcement)?,
+            None if self.leases.len() >= MAX_SERVERS => return Err(AnnounceError::TooMany),
+            None => {}
+        }
+        let changed = held.is_none_or(|held| held.announcement != announcement);
+        let load = held.map(|held| held.load).unwrap_or_default();
+        let lease = Lease {
+            announcement,
+            load,
+            expires,
+        };
+        self.leases.insert(lease.announcement.address, lease);
+        Ok(changed)
+    }
+
+    /// Marks a backend server as draining; its lease goes on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no backend server holds a lease on the address.
+    pub fn drain(&mut self, address: SocketAddr) -> Result<(), AnnounceError> {
+        let lease = self.held(address)?;
+        lease.announcement.state = MemberState::Draining;
+        Ok(())
+    }
+
+    /// Takes a load report.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no backend server holds a lease on the address.
+    pub fn report_load(
+        &mut self,
+        address: SocketAddr,
+        load: LoadReport,
+    ) -> Result<(), AnnounceError> {
+        self.held(address)?.load = load;
+        Ok(())
+    }
+
+    /// Drops the leases that have run out. Returns whether the list has changed.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
+        let before = self.leases.len();
+        self.leases.retain(|_, lease| lease.expires > now);
+        before != self.leases.len()
+    }
+
+    /// The announcements that hold a lease, ordered by address.
+    #[must_use]
+    pub fn list(&self) -> Vec<Announcement> {
+        self.leases
+            .values()
+            .map(|lease| lease.announcement.clone())
+            .collect()
+    }
+
+    /// The last load report of a backend server.
+    #[must_use]
+    pub fn load(&self, address: SocketAddr) -> Option<LoadReport> {
+        self.leases.get(&address).map(|lease| lease.load)
+    }
+
+    fn held(&mut self, address: SocketAddr) -> Result<&mut Lease, AnnounceError> {
+        self.leases
+            .get_mut(&address)
+            .ok_or(AnnounceError::Unknown(address))
+    }
+}
+
+/// Checks that an announcement may follow the one that holds the lease.
+fn check_successor(held: &Announcement, offered: &Announcement) -> Result<(), AnnounceError> {
+    if offered.incarnation < held.incarnation {
+        return Err(AnnounceError::LowerIncarnation {
+            offered: offered.incarnation,
+            held: held.incarnation,
+        });
+    }
+    if offered.incarnation > held.incarnation {
+        return Ok(());
+    }
+    if offered.service != held.service || offered.version != held.version {
+        return Err(AnnounceError::AddressClash {
+            address: held.address,
+            service: held.service.clone(),
+        });
+    }
+    match (held.state, offered.state) {
+        (MemberState::Draining, MemberState::Up) => {
+            Err(AnnounceError::DrainReverted(held.incarnation))
+        }
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/trefoillock-backend/src/answer_body.rs
@@ -0,0 +1,92 @@
+//! The streamed body of a backend server's answer.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::OwnedSemaphorePermit;
+
+use crate::{Body, BodyError, LocalServer, connection::Connection};
+
+/// A body that holds the connection and the slot of its call.
+///
+/// Once the body has ended the connection is idle again. If it is dropped before, or fails, the
+/// connection is closed.
+pub(crate) struct AnswerBody {
+    inner: Incoming,
+    held: Option<(Connection, OwnedSemaphorePermit)>,
+    server: Arc<LocalServer>,
+}
+
+impl AnswerBody {
+    pub(crate) fn new(
+        inner: Incoming,
+        conn: Connection,
+        server: Arc<LocalServer>,
+        permit: OwnedSemaphorePermit,
+    ) -> Self {
+        let mut body = Self {
+            inner,
+            held: Some((conn, permit)),
+            server,
+        };
+        if body.inner.is_end_stream() {
+            body.finish();
+        }
+        body
+    }
+
+    pub(crate) fn boxed(self) -> Body {
+        self.boxed_unsync()
+    }
+
+    /// Makes the connection idle before it frees the slot.
+    fn finish(&mut self) {
+        if let Some((conn, permit)) = self.held.take() {
+            self.server.put_idle(conn);
+            drop(permit);
+        }
+    }
+}
+
+impl HttpBody for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match Pin::new(&mut self.inner).poll_frame(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(None) => {
+                self.finish();
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.held = None;
+                Poll::Ready(Some(Err(BodyError::Cut(error.to_string()))))
+            }
+            Poll::Ready(Some(Ok(frame))) => {
+                if self.inner.is_end_stream() {
+                    self.finish();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/trefoillock-backend/src/body.rs
@@ -0,0 +1,93 @@
+//! Streamed bodies.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody};
+use tokio::time::{Instant, Sleep};
+
+/// Why a body ended before its end.
+#[derive(Debug, Clone, Display)]
+pub enum BodyError {
+    /// the deadline of the call passed in mid-body
+    Deadline,
+    /// the body was cut: {0}
+    Cut(String),
+}
+
+impl std::error::Error for BodyError {}
+
+/// A body that is streamed and never held as a whole.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Turns any body into a [`Body`].
+pub fn box_body<B>(body: B) -> Body
+where
+    B: HttpBody<Data = Bytes> + Send + 'static,
+    B::Error: std::fmt::Display,
+{
+    body.map_err(|error| BodyError::Cut(error.to_string()))
+        .boxed_unsync()
+}
+
+/// A body without bytes.
+#[must_use]
+pub fn empty_body() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body of a short text.
+#[must_use]
+pub fn text_body(text: impl Into<Bytes>) -> Body {
+    Full::new(text.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A body that fails once a deadline has passed.
+pub struct DeadlineBody {
+    inner: Body,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl DeadlineBody {
+    /// Limits a body to a deadline.
+    #[must_use]
+    pub fn new(inner: Body, deadline: Instant) -> Self {
+        Self {
+            inner,
+            deadline: Box::pin(tokio::time::sleep_until(deadline)),
+        }
+    }
+}
+
+impl HttpBody for DeadlineBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Poll::Ready(frame) = Pin::new(&mut self.inner).poll_frame(cx) {
+            return Poll::Ready(frame);
+        }
+        match self.deadline.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Some(Err(BodyError::Deadline))),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/trefoillock-backend/src/local_server.rs
@@ -0,0 +1,245 @@
+//! The calls to one backend server.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use http::{HeaderMap, Request, Response, StatusCode};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, timeout, timeout_at},
+};
+use trefoillock_core::{Announcement, MemberState, RefusalReason, headers};
+
+use crate::{Body, CallFailure, Crash, NotSent, answer_body::AnswerBody, connection::Connection};
+
+/// The longest time that opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest time that a connection is kept idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The longest time that a connection takes to finish its last request after the answer.
+const READY_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// The limits of one call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallLimits {
+    /// The time by which the answer must have ended.
+    pub deadline: Instant,
+    /// The longest time that the call waits for a slot.
+    pub queue: Duration,
+}
+
+/// A backend server beside this node, in one incarnation.
+///
+/// At most as many calls run at once as it announced slots, on at most as many connections as
+/// it announced, each of which carries one call at a time.
+#[derive(Debug)]
+pub struct LocalServer {
+    announcement: Announcement,
+    draining: AtomicBool,
+    crashed: AtomicBool,
+    waiting: AtomicU32,
+    slots: Arc<Semaphore>,
+    idle: Mutex<Vec<Connection>>,
+}
+
+impl LocalServer {
+    /// Creates a backend server without connections.
+    #[must_use]
+    pub fn new(announcement: Announcement) -> Self {
+        let slots = announcement.slots.min(announcement.connections);
+        let slots = usize::try_from(slots)
+            .unwrap_or(usize::MAX)
+            .min(Semaphore::MAX_PERMITS);
+        Self {
+            draining: AtomicBool::new(announcement.state == MemberState::Draining),
+            crashed: AtomicBool::new(false),
+            waiting: AtomicU32::new(0),
+            slots: Arc::new(Semaphore::new(slots)),
+            idle: Mutex::new(Vec::new()),
+            announcement,
+        }
+    }
+
+    /// What the backend server announced; its state may have changed since.
+    #[must_use]
+    pub const fn announcement(&self) -> &Announcement {
+        &self.announcement
+    }
+
+    /// The number of calls that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        let slots = self.announcement.slots.min(self.announcement.connections);
+        let free = u32::try_from(self.slots.available_permits()).unwrap_or(u32::MAX);
+        slots.saturating_sub(free)
+    }
+
+    /// The number of calls that wait for a slot.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// Whether the announcement is of the same run with the same limits.
+    pub(crate) fn continues(&self, next: &Announcement) -> bool {
+        let mut held = self.announcement.clone();
+        held.state = next.state;
+        held == *next && !self.crashed.load(Ordering::Relaxed)
+    }
+
+    /// Takes over the announced state.
+    pub(crate) fn set_state(&self, state: MemberState) {
+        self.draining
+            .store(state == MemberState::Draining, Ordering::Release);
+    }
+
+    /// Whether new work may be sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why not.
+    pub fn check_open(&self) -> Result<(), RefusalReason> {
+        if self.draining.load(Ordering::Acquire) {
+            return Err(RefusalReason::Draining);
+        }
+        if self.crashed.load(Ordering::Acquire) {
+            return Err(RefusalReason::Unreachable);
+        }
+        Ok(())
+    }
+
+    /// Sends a call and returns the head of its answer; the body streams.
+    ///
+    /// Dropping the future or the body closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason, and what is known about the execution of the call.
+    pub async fn call(
+        self: &Arc<Self>,
+        req: Request<Body>,
+        limits: CallLimits,
+    ) -> Result<Response<Body>, CallFailure> {
+        self.check_open().map_err(refuse)?;
+        let permit = self.slot(limits).await.map_err(refuse)?;
+        self.check_open().map_err(refuse)?;
+        let conn = self.connection(limits).await.map_err(refuse)?;
+        self.exchange(conn, req, limits, permit).await
+    }
+
+    /// Waits for a slot for a bounded time.
+    async fn slot(&self, limits: CallLimits) -> Result<OwnedSemaphorePermit, RefusalReason> {
+        if let Ok(permit) = self.slots.clone().try_acquire_owned() {
+            return Ok(permit);
+        }
+        let until = limits.deadline.min(Instant::now() + limits.queue);
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let acquired = timeout_at(until, self.slots.clone().acquire_owned()).await;
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+        match acquired {
+            Ok(Ok(permit)) => Ok(permit),
+            _ if until == limits.deadline => Err(RefusalReason::Deadline),
+            _ => Err(RefusalReason::Overloaded),
+        }
+    }
+
+    /// Takes an idle connection or opens a new one.
+    async fn connection(&self, limits: CallLimits) -> Result<Connection, RefusalReason> {
+        while let Some(mut conn) = self.pop_idle() {
+            let ready = timeout(READY_TIMEOUT, conn.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Ok(conn);
+            }
+        }
+        let until = limits.deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        match timeout_at(until, Connection::open(self.announcement.address)).await {
+            Ok(Ok(conn)) => Ok(conn),
+            Err(_) if until == limits.deadline => Err(RefusalReason::Deadline),
+            Ok(Err(_)) | Err(_) => Err(RefusalReason::Unreachable),
+        }
+    }
+
+    fn pop_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        idle.retain(|conn| {
+            !conn.sender.is_closed() && now.duration_since(conn.idle_since) < IDLE_TIMEOUT
+        });
+        idle.pop()
+    }
+
+    /// Takes back a connection whose answer has ended.
+    pub(crate) fn put_idle(&self, mut conn: Connection) {
+        conn.idle_since = Instant::now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.push(conn);
+    }
+
+    /// Sends the request on the connection and waits for the head of the answer.
+    async fn exchange(
+        self: &Arc<Self>,
+        mut conn: Connection,
+        req: Request<Body>,
+        limits: CallLimits,
+        permit: OwnedSemaphorePermit,
+    ) -> Result<Response<Body>, CallFailure> {
+        let before = conn.written();
+        let answer = timeout_at(limits.deadline, conn.sender.try_send_request(req)).await;
+        let reason = match answer {
+            Ok(Ok(resp)) => {
+                let resp =
+                    resp.map(|body| AnswerBody::new(body, conn, self.clone(), permit).boxed());
+                return check_refusal(resp);
+            }
+            Ok(Err(_)) => RefusalReason::ConnectionLost,
+            Err(_) => RefusalReason::Deadline,
+        };
+        if conn.close().await == before {
+            let proof = NotSent::nothing_written();
+            return Err(CallFailure::did_not_run(reason, proof));
+        }
+        let crash = match reason {
+            RefusalReason::ConnectionLost => self.probe().await,
+            _ => Crash::No,
+        };
+        Err(CallFailure::may_have_run(reason).with_crash(crash))
+    }
+
+    /// Finds out whether the process still accepts connections after one was lost.
+    pub async fn probe(&self) -> Crash {
+        let open = Connection::open(self.announcement.address);
+        match timeout(CONNECT_TIMEOUT, open).await {
+            Ok(Err(_)) => {
+                self.crashed.store(true, Ordering::Release);
+                Crash::Yes
+            }
+            Ok(Ok(_)) | Err(_) => Crash::No,
+        }
+    }
+}
+
+/// Refuses a call of which nothing was written.
+const fn refuse(reason: RefusalReason) -> CallFailure {
+    CallFailure::did_not_run(reason, NotSent::nothing_written())
+}
+
+/// Recognises the answer with which a backend server refuses a call before running it.
+fn check_refusal(resp: Response<Body>) -> Result<Response<Body>, CallFailure> {
+    if resp.status() == StatusCode::SERVICE_UNAVAILABLE && says_did_not_run(resp.headers()) {
+        let proof = NotSent::refused_by_peer();
+        let reason = RefusalReason::RefusedByServer;
+        return Err(CallFailure::did_not_run(reason, proof));
+    }
+    Ok(resp)
+}
+
+fn says_did_not_run(map: &HeaderMap) -> bool {
+    map.get(headers::OUTCOME)
+        .is_some_and(|value| value.as_bytes() == b"did-not-run")
+}
--- /dev/null
+++ b/trefoillock-backend/src/local_servers.rs
@@ -0,0 +1,72 @@
+//! The backend servers beside a node, as destinations of calls.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
+use trefoillock_core::{Announcement, Incarnation, Map};
+
+use crate::LocalServer;
+
+/// The backend servers that hold a lease, by address.
+#[derive(Debug, Default)]
+pub struct LocalServers {
+    servers: Mutex<Map<SocketAddr, Arc<LocalServer>>>,
+    changed: Notify,
+}
+
+impl LocalServers {
+    /// Creates an empty list.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The backend server at an address, if it holds a lease.
+    #[must_use]
+    pub fn get(&self, address: SocketAddr) -> Option<Arc<LocalServer>> {
+        let servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        servers.get(&address).cloned()
+    }
+
+    /// Takes over a list of announcements. A backend server in a new incarnation starts with no
+    /// connections; calls in flight to the earlier one go on.
+    pub fn update(&self, list: &[Announcement]) {
+        let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut next = Map::default();
+        for announcement in list {
+            let held = servers.get(&announcement.address);
+            let server = match held.filter(|held| held.continues(announcement)) {
+                Some(held) => {
+                    held.set_state(announcement.state);
+                    held.clone()
+                }
+                None => Arc::new(LocalServer::new(announcement.clone())),
+            };
+            next.insert(announcement.address, server);
+        }
+        *servers = next;
+        drop(servers);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until a higher incarnation than `ended` has announced itself at an address.
+    /// Returns whether that happened before `until`.
+    pub async fn restarted(&self, address: SocketAddr, ended: Incarnation, until: Instant) -> bool {
+        loop {
+            let changed = self.changed.notified();
+            let server = self.get(address);
+            if server.is_some_and(|server| server.announcement().incarnation > ended) {
+                return true;
+            }
+            if timeout_at(until, changed).await.is_err() {
+                return false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trefoillock-backend/src/serve.rs
@@ -0,0 +1,98 @@
+//! The HTTP interface for the backend servers beside a node.
+
+use std::{future::IntoFuture, net::SocketAddr, sync::Arc};
+
+use http::StatusCode;
+use serde::Deserialize;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use trefoillock_core::{Announcement, Error, Peer, Step};
+use viz::{
+    IntoResponse, Request, RequestExt, RequestLimitsExt, Response, ResponseExt, Router,
+    middleware::limits, types::State,
+};
+
+use crate::{AnnounceError, BackendInterface, LoadReport};
+
+/// The body of a drain.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrainRequest {
+    address: SocketAddr,
+}
+
+/// The body of a load report.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LoadRequest {
+    address: SocketAddr,
+    #[serde(flatten)]
+    load: LoadReport,
+}
+
+/// Serves the interface until `stop` is cancelled, and watches the leases meanwhile.
+///
+/// # Errors
+///
+/// Returns an error if the listening socket fails.
+pub async fn serve(
+    listener: TcpListener,
+    interface: Arc<BackendInterface>,
+    stop: CancellationToken,
+) -> Result<(), Error> {
+    let place = listener
+        .local_addr()
+        .map_or_else(|_| "?".to_owned(), |addr| addr.to_string());
+    let router = Router::new()
+        .put("/announcement", announce)
+        .post("/announcement", announce)
+        .post("/drain", drain)
+        .post("/load", report_load)
+        .with(limits::Config::default())
+        .with(State::new(interface.clone()));
+    let signal = stop.clone().cancelled_owned();
+    let serving = viz::serve(listener, router).signal(signal).into_future();
+    let (result, ()) = tokio::join!(serving, interface.watch_leases(stop));
+    result.map_err(|error| Error::new(Step::Listen, Peer::Platform(place), error))
+}
+
+/// Takes or renews an announcement.
+async fn announce(mut req: Request) -> viz::Result<Response> {
+    let announcement: Announcement = req.json_with_limit().await?;
+    answer(interface(&req)?.announce(announcement))
+}
+
+/// Marks a backend server as draining.
+async fn drain(mut req: Request) -> viz::Result<Response> {
+    let drain: DrainRequest = req.json_with_limit().await?;
+    answer(interface(&req)?.drain(drain.address))
+}
+
+/// Takes a load report.
+async fn report_load(mut req: Request) -> viz::Result<Response> {
+    let report: LoadRequest = req.json_with_limit().await?;
+    answer(interface(&req)?.report_load(report.address, report.load))
+}
+
+fn interface(req: &Request) -> viz::Result<Arc<BackendInterface>> {
+    req.state::<Arc<BackendInterface>>()
+        .ok_or_else(|| StatusCode::INTERNAL_SERVER_ERROR.into_error())
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "handlers return results")]
+fn answer(result: Result<(), AnnounceError>) -> viz::Result<Response> {
+    let Err(error) = result else {
+        return Ok(StatusCode::NO_CONTENT.into_response());
+    };
+    let status = match error {
+        AnnounceError::NoCapacity => StatusCode::UNPROCESSABLE_ENTITY,
+        AnnounceError::Unknown(_) => StatusCode::NOT_FOUND,
+        AnnounceError::TooMany => StatusCode::TOO_MANY_REQUESTS,
+        AnnounceError::LowerIncarnation { .. }
+        | AnnounceError::AddressClash { .. }
+        | AnnounceError::DrainReverted(_) => StatusCode::CONFLICT,
+    };
+    let mut resp = Response::text(error.to_string());
+    *resp.status_mut() = status;
+    Ok(resp)
+}
--- /dev/null
+++ b/trefoillock-caller/src/answer.rs
@@ -0,0 +1,49 @@
+//! Answers to callers.
+
+use std::sync::Arc;
+
+use http::{HeaderValue, Response};
+use http_body_util::BodyExt;
+use trefoillock_backend::{Body, CallFailure, Crash, Execution, NotSent};
+use trefoillock_core::{Outcome, RefusalReason, headers};
+use trefoillock_node::{NodeContext, Seen, refusal_answer, strip_internal};
+
+use crate::{call::Call, recorded_body::RecordedBody};
+
+/// A refusal of which nothing was sent to a backend server.
+pub(crate) const fn refuse(reason: RefusalReason) -> CallFailure {
+    CallFailure::did_not_run(reason, NotSent::nothing_written())
+}
+
+/// Passes a backend server's answer on.
+pub(crate) fn pass_on(
+    cx: &Arc<NodeContext>,
+    call: &Arc<Call>,
+    mut resp: Response<Body>,
+) -> Response<Body> {
+    strip_internal(resp.headers_mut());
+    let answered = HeaderValue::from_static(Outcome::Answered.as_str());
+    resp.headers_mut().insert(headers::OUTCOME, answered);
+    let server_error = resp.status().is_server_error();
+    let (cx, call) = (cx.clone(), call.clone());
+    resp.map(|body| RecordedBody::new(body, cx, call, server_error).boxed_unsync())
+}
+
+/// Tells a failure to the caller, and counts it.
+pub(crate) fn tell(cx: &NodeContext, call: &Call, failure: &CallFailure) -> Response<Body> {
+    let seen = match failure.execution() {
+        Execution::DidNotRun(_) => Seen::Refused,
+        Execution::Unknown => Seen::Failed {
+            crashed: failure.crash() == Crash::Yes,
+        },
+    };
+    call.record(cx, seen);
+    tell_unrouted(failure)
+}
+
+/// Tells a failure of a call that has no route.
+pub(crate) fn tell_unrouted(failure: &CallFailure) -> Response<Body> {
+    let mut resp = refusal_answer(failure);
+    resp.headers_mut().remove("trefoillock-crashed");
+    resp
+}
--- /dev/null
+++ b/trefoillock-caller/src/call.rs
@@ -0,0 +1,31 @@
+//! A call of a caller, classified by its route.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+use trefoillock_core::{Fingerprint, Pool, Route};
+use trefoillock_node::{CallRecord, MoveCall, NodeContext, Seen};
+
+/// A call with its route, pool and deadline.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) route: Arc<Route>,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) in_move: Option<MoveCall>,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+}
+
+impl Call {
+    /// Counts how the call ended.
+    pub(crate) fn record(&self, cx: &NodeContext, seen: Seen) {
+        cx.recorder().record(&CallRecord {
+            route: &self.route.name,
+            class: self.route.class,
+            target: Duration::from_millis(u64::from(self.route.target.latency_ms)),
+            in_move: self.in_move,
+            seen,
+        });
+    }
+}
--- /dev/null
+++ b/trefoillock-caller/src/serve.rs
@@ -0,0 +1,19 @@
+//! The port for callers.
+
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use trefoillock_node::{NodeContext, ServerLimits, serve_http};
+
+use crate::Entry;
+
+/// Takes calls until `stop` is cancelled and all calls in flight have ended.
+pub async fn serve(listener: TcpListener, cx: Arc<NodeContext>, stop: CancellationToken) {
+    let entry = Arc::new(Entry::new(cx));
+    let handler = move |req| {
+        let entry = entry.clone();
+        async move { entry.answer(req).await }
+    };
+    serve_http(listener, ServerLimits::default(), handler, stop).await;
+}
--- /dev/null
+++ b/trefoillock-node/src/context.rs
@@ -0,0 +1,124 @@
+//! What all calls of one node share.
+
+use std::sync::Arc;
+
+use http::{Request, Response};
+use tokio_util::task::TaskTracker;
+use trefoillock_backend::{Body, CallFailure, Clock, LocalServers};
+use trefoillock_core::{DataCentre, Incarnation, Member, NodeId};
+use trefoillock_rpc::Token;
+
+use crate::{Delivery, EvidenceRecorder, NodeView, destination, peer_clients::PeerClients};
+
+/// The identity of a node, what it holds, and its connections.
+#[derive(Debug)]
+pub struct NodeContext {
+    node: NodeId,
+    incarnation: Incarnation,
+    data_centre: DataCentre,
+    token: Token,
+    clock: Clock,
+    view: Arc<NodeView>,
+    recorder: Arc<EvidenceRecorder>,
+    servers: Arc<LocalServers>,
+    peers: PeerClients,
+    tasks: TaskTracker,
+}
+
+impl NodeContext {
+    /// Creates the context of a node with an empty view.
+    #[must_use]
+    pub fn new(
+        node: NodeId,
+        incarnation: Incarnation,
+        data_centre: DataCentre,
+        token: Token,
+        clock: Clock,
+        servers: Arc<LocalServers>,
+    ) -> Self {
+        Self {
+            node,
+            incarnation,
+            data_centre,
+            peers: PeerClients::new(token.clone()),
+            token,
+            clock,
+            view: Arc::new(NodeView::new()),
+            recorder: Arc::new(EvidenceRecorder::new()),
+            servers,
+            tasks: TaskTracker::new(),
+        }
+    }
+
+    /// The identity of this node.
+    #[must_use]
+    pub const fn node(&self) -> &NodeId {
+        &self.node
+    }
+
+    /// The run of this node.
+    #[must_use]
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// The data centre of this node.
+    #[must_use]
+    pub const fn data_centre(&self) -> &DataCentre {
+        &self.data_centre
+    }
+
+    /// The token of calls between nodes.
+    #[must_use]
+    pub const fn token(&self) -> &Token {
+        &self.token
+    }
+
+    /// The clock of this process.
+    #[must_use]
+    pub const fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// The configuration and the list of members that this node holds.
+    #[must_use]
+    pub const fn view(&self) -> &Arc<NodeView> {
+        &self.view
+    }
+
+    /// The counts of how calls ended.
+    #[must_use]
+    pub const fn recorder(&self) -> &Arc<EvidenceRecorder> {
+        &self.recorder
+    }
+
+    /// The backend servers beside this node.
+    #[must_use]
+    pub const fn servers(&self) -> &Arc<LocalServers> {
+        &self.servers
+    }
+
+    /// The tasks that go on after the caller has left, such as postings that were sent.
+    #[must_use]
+    pub const fn tasks(&self) -> &TaskTracker {
+        &self.tasks
+    }
+
+    /// Sends a call to a backend server: directly if it stands beside this node, else through
+    /// the node beside it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason, and what is known about the execution of the call.
+    pub async fn send(
+        self: &Arc<Self>,
+        member: &Member,
+        delivery: Delivery,
+        req: Request<Body>,
+    ) -> Result<Response<Body>, CallFailure> {
+        if member.id.node == self.node {
+            return destination::deliver(self, delivery, req).await;
+        }
+        self.peers.send(member.peer_address, delivery, req).await
+    }
+}
--- /dev/null
+++ b/trefoillock-node/src/delivery.rs
@@ -0,0 +1,97 @@
+//! What an entry node tells a destination node about a call.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+use tokio::time::Instant;
+use trefoillock_core::{Fingerprint, RouteClass, ServerId, ServiceName, VersionLabel, headers};
+
+use crate::headers::{CLASS, FINGERPRINT, QUEUE_MS, SERVER, SERVICE, VERSION, header_text};
+
+/// The destination of a call and its limits.
+#[derive(Debug, Clone)]
+pub struct Delivery {
+    /// The address of the backend server.
+    pub address: SocketAddr,
+    /// The service that the backend server must belong to.
+    pub service: ServiceName,
+    /// The version that the backend server must run.
+    pub version: VersionLabel,
+    /// The class of the call.
+    pub class: RouteClass,
+    /// The fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// The time by which the answer must have ended.
+    pub deadline: Instant,
+    /// The longest time that the call waits for a slot.
+    pub queue: Duration,
+}
+
+impl Delivery {
+    /// Creates the delivery of a call to a backend server.
+    #[must_use]
+    pub fn new(server: &ServerId, service: ServiceName, version: VersionLabel) -> Self {
+        Self {
+            address: server.address,
+            service,
+            version,
+            class: RouteClass::Lookup,
+            fingerprint: Fingerprint::new(0),
+            deadline: Instant::now(),
+            queue: Duration::ZERO,
+        }
+    }
+
+    /// Sets the class and the fingerprint of the request.
+    #[must_use]
+    pub const fn request(mut self, class: RouteClass, fingerprint: Fingerprint) -> Self {
+        self.class = class;
+        self.fingerprint = fingerprint;
+        self
+    }
+
+    /// Sets the deadline and the longest time that the call waits for a slot.
+    #[must_use]
+    pub const fn limits(mut self, deadline: Instant, queue: Duration) -> Self {
+        self.deadline = deadline;
+        self.queue = queue;
+        self
+    }
+
+    /// Writes the delivery into the headers of a call between nodes.
+    pub(crate) fn write(&self, map: &mut HeaderMap) {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        set(map, headers::DEADLINE_MS, &left.as_millis().to_string());
+        set(map, SERVER, &self.address.to_string());
+        set(map, SERVICE, self.service.as_str());
+        set(map, VERSION, self.version.as_str());
+        set(map, CLASS, self.class.as_str());
+        set(map, FINGERPRINT, &self.fingerprint.get().to_string());
+        set(map, QUEUE_MS, &self.queue.as_millis().to_string());
+    }
+
+    /// Reads a delivery from the headers of a call between nodes.
+    pub(crate) fn read(map: &HeaderMap) -> Option<Self> {
+        let number = |name| header_text(map, name)?.parse::<u64>().ok();
+        let class = header_text(map, CLASS)?;
+        Some(Self {
+            address: header_text(map, SERVER)?.parse().ok()?,
+            service: header_text(map, SERVICE)?.try_into().ok()?,
+            version: header_text(map, VERSION)?.try_into().ok()?,
+            class: RouteClass::ALL
+                .into_iter()
+                .find(|known| known.as_str() == class)?,
+            fingerprint: Fingerprint::new(number(FINGERPRINT)?),
+            deadline: Instant::now()
+                .checked_add(Duration::from_millis(number(headers::DEADLINE_MS)?))?,
+            queue: Duration::from_millis(number(QUEUE_MS)?),
+        })
+    }
+}
+
+/// Sets a header whose text is known to be printable.
+fn set(map: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        map.insert(HeaderName::from_static(name), value);
+    }
+}
--- /dev/null
+++ b/trefoillock-node/src/draw.rs
@@ -0,0 +1,7 @@
+//! Random draws at the edge of a process.
+
+/// A uniformly drawn number.
+#[must_use]
+pub fn draw() -> u32 {
+    rand::random()
+}
--- /dev/null
+++ b/trefoillock-node/src/http_server.rs
@@ -0,0 +1,181 @@
+//! A listening socket that takes HTTP/1.1 and HTTP/2 and stops gracefully.
+
+use std::{
+    convert::Infallible,
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
+
+use futures::FutureExt;
+use http::{HeaderValue, Request, Response, Version, header};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::conn::auto,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::sleep,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use trefoillock_backend::Body;
+
+/// The time for which an idle HTTP/1.1 connection is kept after a stop, so that a request that
+/// is on its way is still answered.
+const STOP_GRACE: Duration = Duration::from_millis(500);
+/// The pause after the listening socket failed, for example for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The answer to a connection beyond the limit.
+const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    trefoillock-outcome: did-not-run\r\ntrefoillock-reason: overloaded\r\nretry-after: 1\r\n\
+    content-length: 0\r\nconnection: close\r\n\r\n";
+
+/// Limits against hostile or broken clients.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// The number of open connections.
+    pub connections: usize,
+    /// The size of a request's head, in bytes.
+    pub header_bytes: u32,
+    /// The longest time that a connection may be idle, and that a request's head may take.
+    pub head_timeout: Duration,
+    /// The number of concurrent calls on one HTTP/2 connection.
+    pub streams: u32,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            header_bytes: 32 * 1024,
+            head_timeout: Duration::from_secs(15),
+            streams: 256,
+        }
+    }
+}
+
+/// What is known of a connection.
+const NEW: u8 = 0;
+const HTTP_1: u8 = 1;
+const HTTP_2: u8 = 2;
+
+/// Serves a listening socket until `stop` is cancelled and all calls in flight have ended.
+pub async fn serve_http<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: H,
+    stop: CancellationToken,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let open = Arc::new(Semaphore::new(limits.connections));
+    let tasks = TaskTracker::new();
+    let start = |stream: TcpStream| {
+        let Ok(permit) = open.clone().try_acquire_owned() else {
+            tasks.spawn(refuse(stream));
+            return;
+        };
+        let handler = handler.clone();
+        let stop = stop.clone();
+        tasks.spawn(async move {
+            serve_connection(stream, limits, handler, stop).await;
+            drop(permit);
+        });
+    };
+    while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => start(stream),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    // Connections that the kernel has accepted already are served.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        start(stream);
+    }
+    drop(listener);
+    tasks.close();
+    tasks.wait().await;
+}
+
+async fn refuse(mut stream: TcpStream) {
+    let _ = stream.write_all(TOO_MANY_CONNECTIONS).await;
+    let _ = stream.shutdown().await;
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    limits: ServerLimits,
+    handler: H,
+    stop: CancellationToken,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let version = Arc::new(AtomicU8::new(NEW));
+    let service = {
+        let version = version.clone();
+        let stop = stop.clone();
+        service_fn(move |req: Request<Incoming>| {
+            let is_http_2 = req.version() == Version::HTTP_2;
+            version.store(if is_http_2 { HTTP_2 } else { HTTP_1 }, Ordering::Relaxed);
+            let answer = handler(req);
+            let stop = stop.clone();
+            async move {
+                let mut resp = answer.await;
+                if !is_http_2 && stop.is_cancelled() {
+                    let close = HeaderValue::from_static("close");
+                    resp.headers_mut().insert(header::CONNECTION, close);
+                }
+                Ok::<_, Infallible>(resp)
+            }
+        })
+    };
+    let builder = builder(limits);
+    let conn = builder.serve_connection(TokioIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        () = first_request_missing(&version, limits.head_timeout) => return,
+        () = stop.cancelled() => {}
+    }
+    if version.load(Ordering::Relaxed) != HTTP_2 {
+        tokio::select! {
+            _ = conn.as_mut() => return,
+            () = sleep(STOP_GRACE) => {}
+        }
+    }
+    conn.as_mut().graceful_shutdown();
+    let _ = conn.await;
+}
+
+/// Ends if no request has arrived on a new connection in time.
+async fn first_request_missing(version: &AtomicU8, limit: Duration) {
+    sleep(limit).await;
+    if version.load(Ordering::Relaxed) != NEW {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn builder(limits: ServerLimits) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.header_bytes as usize)
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.header_bytes)
+        .max_concurrent_streams(limits.streams)
+        .keep_alive_interval(limits.head_timeout)
+        .keep_alive_timeout(limits.head_timeout);
+    builder
+}
--- /dev/null
+++ b/trefoillock-node/src/peer_clients.rs
@@ -0,0 +1,192 @@
+//! HTTP/2 connections to other nodes.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use http::{HeaderName, HeaderValue, Request, Response, Uri, Version, uri::PathAndQuery};
+use hyper::client::conn::http2::{self, SendRequest};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout_at},
+};
+use trefoillock_backend::{Body, CallFailure, NotSent, box_body};
+use trefoillock_core::{Map, RefusalReason, headers};
+use trefoillock_rpc::Token;
+
+use crate::{Delivery, read_refusal, strip_hop_by_hop, strip_internal};
+
+/// The longest time that opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time between two probes of a connection.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// The time after which a connection without an answer to a probe is closed.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The number of bytes of one answer that may be in flight.
+const STREAM_WINDOW: u32 = 256 * 1024;
+/// The number of bytes of all answers of a connection that may be in flight.
+const CONNECTION_WINDOW: u32 = 16 * 1024 * 1024;
+
+type Sender = SendRequest<Body>;
+
+/// The connection to one other node.
+#[derive(Debug, Default)]
+struct PeerClient {
+    open: Mutex<Option<Sender>>,
+    opening: tokio::sync::Mutex<()>,
+}
+
+/// The connections to all other nodes, by address.
+#[derive(Debug)]
+pub(crate) struct PeerClients {
+    token: Token,
+    clients: Mutex<Map<SocketAddr, Arc<PeerClient>>>,
+}
+
+impl PeerClients {
+    pub(crate) fn new(token: Token) -> Self {
+        Self {
+            token,
+            clients: Mutex::new(Map::default()),
+        }
+    }
+
+    /// Sends a call to the node at an address.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        delivery: Delivery,
+        req: Request<Body>,
+    ) -> Result<Response<Body>, CallFailure> {
+        let mut req = self.prepare(address, &delivery, req)?;
+        let client = self.client(address);
+        loop {
+            let mut sender = client.sender(address, delivery.deadline).await?;
+            let answer = timeout_at(delivery.deadline, sender.try_send_request(req)).await;
+            match answer {
+                Ok(Ok(resp)) => return read_answer(resp),
+                Ok(Err(mut error)) => {
+                    client.forget_closed();
+                    // The message comes back only if no byte of it was handed to the connection.
+                    match error.take_message() {
+                        Some(unsent) if Instant::now() < delivery.deadline => req = unsent,
+                        Some(_) => return Err(not_sent(RefusalReason::Deadline)),
+                        None => {
+                            let reason = RefusalReason::ConnectionLost;
+                            return Err(CallFailure::may_have_run(reason));
+                        }
+                    }
+                }
+                Err(_) => return Err(CallFailure::may_have_run(RefusalReason::Deadline)),
+            }
+        }
+    }
+
+    /// Writes the headers of a call between nodes.
+    fn prepare(
+        &self,
+        address: SocketAddr,
+        delivery: &Delivery,
+        mut req: Request<Body>,
+    ) -> Result<Request<Body>, CallFailure> {
+        let map = req.headers_mut();
+        strip_hop_by_hop(map);
+        strip_internal(map);
+        delivery.write(map);
+        if let Some(bearer) = self.token.bearer() {
+            let mut value =
+                HeaderValue::try_from(bearer).map_err(|_| not_sent(RefusalReason::Unreachable))?;
+            value.set_sensitive(true);
+            map.insert(HeaderName::from_static(headers::TOKEN), value);
+        }
+        let path = req.uri().path_and_query().map(PathAndQuery::as_str);
+        let uri = format!("http://{address}{}", path.unwrap_or("/"));
+        *req.uri_mut() = uri
+            .parse::<Uri>()
+            .map_err(|_| not_sent(RefusalReason::BadRequest))?;
+        *req.version_mut() = Version::HTTP_2;
+        Ok(req)
+    }
+
+    fn client(&self, address: SocketAddr) -> Arc<PeerClient> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        clients.entry(address).or_default().clone()
+    }
+}
+
+impl PeerClient {
+    /// The open connection, or a new one.
+    async fn sender(&self, address: SocketAddr, deadline: Instant) -> Result<Sender, CallFailure> {
+        if let Some(sender) = self.open_sender() {
+            return Ok(sender);
+        }
+        let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let opening = async {
+            let _turn = self.opening.lock().await;
+            if let Some(sender) = self.open_sender() {
+                return Ok(sender);
+            }
+            let sender = connect(address).await?;
+            let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+            *open = Some(sender.clone());
+            io::Result::Ok(sender)
+        };
+        match timeout_at(until, opening).await {
+            Ok(Ok(sender)) => Ok(sender),
+            Err(_) if until == deadline => Err(not_sent(RefusalReason::Deadline)),
+            Ok(Err(_)) | Err(_) => Err(not_sent(RefusalReason::Unreachable)),
+        }
+    }
+
+    fn open_sender(&self) -> Option<Sender> {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if open.as_ref().is_some_and(Sender::is_closed) {
+            *open = None;
+        }
+        open.clone()
+    }
+
+    fn forget_closed(&self) {
+        let _ = self.open_sender();
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<Sender> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (sender, conn) = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .keep_alive_interval(KEEPALIVE_INTERVAL)
+        .keep_alive_timeout(KEEPALIVE_TIMEOUT)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    tokio::spawn(async move {
+        let _ = conn.await;
+    });
+    Ok(sender)
+}
+
+/// Turns the answer of a destination node into an answer or the failure that it tells.
+fn read_answer(resp: Response<hyper::body::Incoming>) -> Result<Response<Body>, CallFailure> {
+    if let Some(failure) = read_refusal(resp.headers()) {
+        return Err(failure);
+    }
+    if !resp.headers().contains_key(headers::OUTCOME) {
+        // Not a destination node of ours.
+        return Err(CallFailure::may_have_run(RefusalReason::ConnectionLost));
+    }
+    let mut resp = resp.map(box_body);
+    strip_internal(resp.headers_mut());
+    Ok(resp)
+}
+
+const fn not_sent(reason: RefusalReason) -> CallFailure {
+    CallFailure::did_not_run(reason, NotSent::nothing_written())
+}
--- /dev/null
+++ b/trefoillock-node/src/recorder.rs
@@ -0,0 +1,245 @@
+//! How the calls that entered at this node ended.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use trefoillock_core::{
+    CrashReport, Evidence, Map, MoveEvidence, MoveId, Outcome, PoolEvidence, RouteClass, RouteName,
+    Set,
+};
+
+use crate::{RouteCounts, ServiceCounts};
+
+/// The number of shards.
+const SHARDS: usize = 16;
+/// The largest number of crash reports held between two drains.
+const MAX_CRASHES: usize = 1_024;
+
+/// The part that a call plays in a move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MoveCall {
+    /// The move.
+    pub id: MoveId,
+    /// The step that set the share by which the call was assigned.
+    pub step: u32,
+    /// Whether the new pool took the call.
+    pub is_new: bool,
+}
+
+/// What was seen of a call at its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Seen {
+    /// An answer in full after a time, with or without a server error.
+    Answer {
+        /// The time from the arrival of the call to the end of the answer.
+        latency: Duration,
+        /// Whether the status tells a server error.
+        server_error: bool,
+    },
+    /// An answer that was cut in mid-body.
+    Aborted,
+    /// The call was refused before running.
+    Refused,
+    /// No answer: a lost connection or a timeout.
+    Failed {
+        /// Whether the process of the backend server is gone.
+        crashed: bool,
+    },
+    /// The caller left before the end.
+    Left,
+}
+
+impl Seen {
+    /// The outcome as the caller saw it.
+    const fn outcome(self) -> Outcome {
+        match self {
+            Self::Answer { .. } => Outcome::Answered,
+            Self::Refused => Outcome::DidNotRun,
+            Self::Aborted | Self::Failed { .. } | Self::Left => Outcome::MayHaveRun,
+        }
+    }
+}
+
+/// The record of one call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallRecord<'a> {
+    /// The route.
+    pub route: &'a RouteName,
+    /// The class.
+    pub class: RouteClass,
+    /// The time within which a good call is answered.
+    pub target: Duration,
+    /// The part that the call plays in a move.
+    pub in_move: Option<MoveCall>,
+    /// What was seen.
+    pub seen: Seen,
+}
+
+#[derive(Debug, Default)]
+struct Shard {
+    moves: BTreeMap<MoveId, MoveEvidence>,
+    services: Map<RouteName, (RouteClass, ServiceCounts)>,
+}
+
+/// Counts of how calls ended, in shards that are each under their own lock.
+#[derive(Debug, Default)]
+pub struct EvidenceRecorder {
+    shards: [Mutex<Shard>; SHARDS],
+    crashes: Mutex<Vec<CrashReport>>,
+    cuts: ArcSwap<Set<MoveId>>,
+}
+
+impl EvidenceRecorder {
+    /// Creates a recorder without counts.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a call.
+    pub fn record(&self, record: &CallRecord<'_>) {
+        if record.seen == Seen::Left {
+            return;
+        }
+        let good = match record.seen {
+            Seen::Answer {
+                latency,
+                server_error,
+            } => !server_error && latency <= record.target,
+            _ => false,
+        };
+        let mut shard = lock(&self.shards[shard_of_thread()]);
+        if let Some((_, counts)) = shard.services.get_mut(record.route) {
+            counts.record(record.seen.outcome(), good);
+        } else {
+            let mut counts = ServiceCounts::default();
+            counts.record(record.seen.outcome(), good);
+            let route = record.route.clone();
+            shard.services.insert(route, (record.class, counts));
+        }
+        if let Some(in_move) = record.in_move {
+            record_move(&mut shard.moves, in_move, record.seen);
+        }
+    }
+
+    /// Takes the evidence on moves since the last time.
+    #[must_use]
+    pub fn drain(&self) -> Evidence {
+        let mut evidence = Evidence::default();
+        for shard in &self.shards {
+            let moves = std::mem::take(&mut lock(shard).moves);
+            evidence.merge(&Evidence { moves });
+        }
+        for id in self.cuts.load().iter() {
+            if let Some(evidence) = evidence.moves.get_mut(id) {
+                evidence.local_cuts = 1;
+            }
+        }
+        evidence
+    }
+
+    /// Takes the counts by route since the last time.
+    #[must_use]
+    pub fn drain_services(&self) -> Vec<RouteCounts> {
+        let mut merged: BTreeMap<RouteName, (RouteClass, ServiceCounts)> = BTreeMap::new();
+        for shard in &self.shards {
+            let services = std::mem::take(&mut lock(shard).services);
+            for (route, (class, counts)) in services {
+                let entry = merged
+                    .entry(route)
+                    .or_insert((class, ServiceCounts::default()));
+                entry.1.merge(&counts);
+            }
+        }
+        let rows = merged.into_iter();
+        rows.map(|(route, (class, counts))| RouteCounts {
+            route,
+            class,
+            counts,
+        })
+        .collect()
+    }
+
+    /// Adds a report of a crash that was seen at this node's backend server.
+    pub fn record_crash(&self, report: CrashReport) {
+        let mut crashes = lock(&self.crashes);
+        if crashes.len() < MAX_CRASHES && !crashes.contains(&report) {
+            crashes.push(report);
+        }
+    }
+
+    /// Takes the crash reports since the last time.
+    #[must_use]
+    pub fn drain_crashes(&self) -> Vec<CrashReport> {
+        std::mem::take(&mut lock(&self.crashes))
+    }
+
+    /// Sets the moves whose new pool gets no call of this node for the time being.
+    pub fn set_cuts(&self, cuts: Set<MoveId>) {
+        self.cuts.store(cuts.into());
+    }
+
+    /// Whether this node sends no call to the new pool of a move.
+    #[must_use]
+    pub fn is_cut(&self, id: MoveId) -> bool {
+        self.cuts.load().contains(&id)
+    }
+}
+
+fn record_move(moves: &mut BTreeMap<MoveId, MoveEvidence>, call: MoveCall, seen: Seen) {
+    let evidence = moves.entry(call.id).or_default();
+    if evidence.step > call.step {
+        return;
+    }
+    if evidence.step < call.step {
+        *evidence = MoveEvidence {
+            step: call.step,
+            ..MoveEvidence::default()
+        };
+    }
+    let pool = if call.is_new {
+        &mut evidence.new
+    } else {
+        &mut evidence.old
+    };
+    record_pool(pool, seen);
+}
+
+fn record_pool(pool: &mut PoolEvidence, seen: Seen) {
+    match seen {
+        Seen::Answer {
+            server_error: true, ..
+        } => pool.record_failure(),
+        Seen::Answer { latency, .. } => pool.record_answer(latency),
+        Seen::Aborted => {
+            pool.record_failure();
+            pool.aborted += 1;
+        }
+        Seen::Refused => pool.refused += 1,
+        Seen::Failed { crashed } => {
+            pool.record_failure();
+            pool.crashes += u64::from(crashed);
+        }
+        Seen::Left => {}
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The shard that the present thread counts into.
+fn shard_of_thread() -> usize {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    thread_local! {
+        static SHARD: usize = NEXT.fetch_add(1, Ordering::Relaxed) % SHARDS;
+    }
+    SHARD.with(|shard| *shard)
+}
--- /dev/null
+++ b/trefoillock-node/src/serve_peer.rs
@@ -0,0 +1,64 @@
+//! The port for calls of other nodes.
+
+use std::sync::Arc;
+
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use trefoillock_backend::{Body, CallFailure, NotSent, box_body};
+use trefoillock_core::{Outcome, RefusalReason, headers};
+
+use crate::{
+    Delivery, NodeContext, ServerLimits, destination::deliver, refusal_answer, serve_http,
+};
+
+/// The number of concurrent calls on one connection.
+const STREAMS: u32 = 4_096;
+
+/// Takes calls of other nodes for the backend servers beside this one, until `stop` is cancelled
+/// and all calls in flight have ended.
+pub async fn serve_peer(listener: TcpListener, cx: Arc<NodeContext>, stop: CancellationToken) {
+    let limits = ServerLimits {
+        streams: STREAMS,
+        ..ServerLimits::default()
+    };
+    let tasks = cx.tasks().clone();
+    let handler = move |req| answer(cx.clone(), req);
+    serve_http(listener, limits, handler, stop).await;
+    tasks.close();
+    tasks.wait().await;
+}
+
+async fn answer(cx: Arc<NodeContext>, req: Request<Incoming>) -> Response<Body> {
+    let given = req.headers().get(headers::TOKEN);
+    let allowed = cx.token().allows(given.map(HeaderValue::as_bytes));
+    let delivery = Delivery::read(req.headers()).filter(|_| allowed);
+    let Some(delivery) = delivery else {
+        let proof = NotSent::nothing_written();
+        let failure = CallFailure::did_not_run(RefusalReason::BadRequest, proof);
+        return refusal_answer(&failure);
+    };
+    let mut req = req.map(box_body);
+    restore_host(&mut req);
+    match deliver(&cx, delivery, req).await {
+        Ok(mut resp) => {
+            let answered = HeaderValue::from_static(Outcome::Answered.as_str());
+            resp.headers_mut().insert(headers::OUTCOME, answered);
+            resp
+        }
+        Err(failure) => refusal_answer(&failure),
+    }
+}
+
+/// Makes the target relative, as an HTTP/1.1 backend server expects it.
+fn restore_host(req: &mut Request<Body>) {
+    let relative = req.uri().path_and_query().cloned().map(http::Uri::from);
+    if let Some(relative) = relative {
+        *req.uri_mut() = relative;
+    }
+    if !req.headers().contains_key(header::HOST) {
+        let host = HeaderValue::from_static("localhost");
+        req.headers_mut().insert(header::HOST, host);
+    }
+}
--- /dev/null
+++ b/trefoillock-node/src/service_counts.rs
@@ -0,0 +1,55 @@
+//! Counts for the report on service-level burn.
+
+use trefoillock_core::{Outcome, RouteClass, RouteName, data};
+
+/// Counts of calls of one route.
+#[data(key)]
+#[derive(Default)]
+pub struct ServiceCounts {
+    /// Calls that were answered in full, without a server error, within the target's time.
+    pub good: u64,
+    /// All other calls.
+    pub bad: u64,
+    /// Calls that were answered in full.
+    pub answered: u64,
+    /// Calls that did not run.
+    pub did_not_run: u64,
+    /// Calls that may have run.
+    pub may_have_run: u64,
+}
+
+impl ServiceCounts {
+    /// Counts one call.
+    pub const fn record(&mut self, outcome: Outcome, good: bool) {
+        if good {
+            self.good += 1;
+        } else {
+            self.bad += 1;
+        }
+        match outcome {
+            Outcome::Answered => self.answered += 1,
+            Outcome::DidNotRun => self.did_not_run += 1,
+            Outcome::MayHaveRun => self.may_have_run += 1,
+        }
+    }
+
+    /// Adds the counts of other calls.
+    pub const fn merge(&mut self, other: &Self) {
+        self.good += other.good;
+        self.bad += other.bad;
+        self.answered += other.answered;
+        self.did_not_run += other.did_not_run;
+        self.may_have_run += other.may_have_run;
+    }
+}
+
+/// The counts of one route.
+#[data]
+pub struct RouteCounts {
+    /// The route.
+    pub route: RouteName,
+    /// Its class.
+    pub class: RouteClass,
+    /// The counts since they were last taken.
+    pub counts: ServiceCounts,
+}
--- /dev/null
+++ b/trefoillock-node/src/view.rs
@@ -0,0 +1,115 @@
+//! What a node holds of the system: its configuration and the list of members.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use trefoillock_core::{Config, Map, Member, Members, PoolName};
+
+use crate::RouteIndex;
+
+/// A configuration with its compiled index.
+#[derive(Debug)]
+pub struct HeldConfig {
+    config: Arc<Config>,
+    index: RouteIndex,
+}
+
+impl HeldConfig {
+    /// The configuration.
+    #[must_use]
+    pub const fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// The index of its routes.
+    #[must_use]
+    pub const fn index(&self) -> &RouteIndex {
+        &self.index
+    }
+}
+
+/// The backend servers that take new work, by pool.
+type Placements = Map<PoolName, Arc<[Arc<Member>]>>;
+
+/// The configuration and the list of members that a node holds. Both are replaced as a whole
+/// and never by an older version.
+#[derive(Debug, Default)]
+pub struct NodeView {
+    config: ArcSwapOption<HeldConfig>,
+    members: ArcSwap<Members>,
+    placements: ArcSwap<Placements>,
+    writing: Mutex<()>,
+}
+
+impl NodeView {
+    /// Creates a view without a configuration.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a configuration unless it is older than the held one. Returns whether it was taken.
+    pub fn set_config(&self, config: Arc<Config>) -> bool {
+        let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
+        let held = self.config.load_full();
+        if held.is_some_and(|held| config.version() <= held.config.version()) {
+            return false;
+        }
+        let index = RouteIndex::new(&config);
+        let placements = place(&config, &self.members.load());
+        self.placements.store(Arc::new(placements));
+        self.config
+            .store(Some(Arc::new(HeldConfig { config, index })));
+        true
+    }
+
+    /// Takes a list of members unless it is older than the held one. Returns whether it was
+    /// taken.
+    pub fn set_members(&self, members: Arc<Members>) -> bool {
+        let _writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
+        if members.version < self.members.load().version {
+            return false;
+        }
+        if let Some(held) = self.config.load_full() {
+            let placements = place(&held.config, &members);
+            self.placements.store(Arc::new(placements));
+        }
+        self.members.store(members);
+        true
+    }
+
+    /// The configuration, once there is one.
+    #[must_use]
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.held().map(|held| held.config.clone())
+    }
+
+    /// The configuration with its index, once there is one.
+    #[must_use]
+    pub fn held(&self) -> Option<Arc<HeldConfig>> {
+        self.config.load_full()
+    }
+
+    /// The list of members.
+    #[must_use]
+    pub fn members(&self) -> Arc<Members> {
+        self.members.load_full()
+    }
+
+    /// The backend servers of a pool that take new work.
+    #[must_use]
+    pub fn servers(&self, pool: &PoolName) -> Arc<[Arc<Member>]> {
+        let placements = self.placements.load();
+        placements.get(pool).cloned().unwrap_or_default()
+    }
+}
+
+fn place(config: &Config, members: &Members) -> Placements {
+    let pools = config.tables().pools().values();
+    pools
+        .map(|pool| {
+            let servers: Arc<[_]> = members.up_in(pool).cloned().collect();
+            (pool.name.clone(), servers)
+        })
+        .collect()
+}
--- /dev/null
+++ b/trefoillock-stand-ins/src/backend_server/connection.rs
@@ -0,0 +1,213 @@
+//! One connection to a stand-in backend server.
+
+use std::{fmt::Write, io, ops::Range, sync::Arc};
+
+use tokio::{
+    io::{AsyncWriteExt, BufReader},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    content::{ANSWER_FOR, REQUEST_ID, content_byte, content_seed},
+    fault::{Fault, FaultStep},
+    request::{BodyLeft, Head, read_head},
+    server::State,
+};
+
+/// The size of an answer whose request names none, in bytes.
+const DEFAULT_BYTES: u64 = 64;
+/// The number of bytes written at once.
+const PIECE_BYTES: u64 = 16 * 1024;
+
+/// What follows a step.
+enum Next {
+    Continue,
+    Refuse,
+    ServerError,
+}
+
+/// Serves a connection until it ends or a fault ends it.
+pub(crate) async fn serve(
+    state: Arc<State>,
+    stream: TcpStream,
+    stop: CancellationToken,
+) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    sleep(state.config.connect_delay).await;
+    let (rx, tx) = stream.into_split();
+    let mut conn = Connection {
+        state,
+        rx: BufReader::new(rx),
+        tx,
+        stop,
+    };
+    conn.step(FaultStep::Connected).await?;
+    while let Some(head) = read_head(&mut conn.rx).await? {
+        conn.answer(&head).await?;
+    }
+    Ok(())
+}
+
+struct Connection {
+    state: Arc<State>,
+    rx: BufReader<OwnedReadHalf>,
+    tx: OwnedWriteHalf,
+    stop: CancellationToken,
+}
+
+impl Connection {
+    /// Lets the fault of a step happen, if one is set.
+    async fn step(&mut self, step: FaultStep) -> io::Result<Next> {
+        match self.state.take_fault(step) {
+            None => {}
+            Some(Fault::Crash) => {
+                self.state.crash();
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            Some(Fault::Reset) => {
+                self.tx.as_ref().set_zero_linger()?;
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            Some(Fault::SilentDrop) => {
+                self.stop.cancelled().await;
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            Some(Fault::Pause(span)) => sleep(span).await,
+            Some(Fault::Gate(gate)) => gate.pass().await,
+            Some(Fault::Refuse) => return Ok(Next::Refuse),
+            Some(Fault::ServerError) => return Ok(Next::ServerError),
+        }
+        Ok(Next::Continue)
+    }
+
+    async fn answer(&mut self, head: &Head) -> io::Result<()> {
+        let mut body = BodyLeft::of(head);
+        body.read_half(&mut self.rx).await?;
+        let next = self.step(FaultStep::HalfRequest).await?;
+        body.read_rest(&mut self.rx).await?;
+        let state = self.state.clone();
+        let _slot = state.slot().await;
+        if matches!(next, Next::Refuse) {
+            return self.refuse().await;
+        }
+        self.run(head).await?;
+        if matches!(self.step(FaultStep::RequestSent).await?, Next::ServerError) {
+            return self.server_error().await;
+        }
+        self.write_answer(head).await?;
+        self.step(FaultStep::End).await?;
+        Ok(())
+    }
+
+    /// Runs the call.
+    async fn run(&mut self, head: &Head) -> io::Result<()> {
+        let id = head.header(REQUEST_ID).unwrap_or(head.path());
+        self.state.log.record(id);
+        if head.path().contains("poison") {
+            self.state.crash();
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        sleep(self.state.config.service_time).await;
+        Ok(())
+    }
+
+    async fn refuse(&mut self) -> io::Result<()> {
+        let head = "HTTP/1.1 503 Service Unavailable\r\ntrefoillock-outcome: did-not-run\r\n\
+            content-length: 0\r\n\r\n";
+        self.tx.write_all(head.as_bytes()).await
+    }
+
+    async fn server_error(&mut self) -> io::Result<()> {
+        let head = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
+        self.tx.write_all(head.as_bytes()).await
+    }
+
+    async fn write_answer(&mut self, head: &Head) -> io::Result<()> {
+        let length = head.parameter("bytes").unwrap_or(DEFAULT_BYTES);
+        let etag = format!("\"{}-{length}\"", self.state.config.etag);
+        let range = wanted_range(head, length, &etag);
+        let (status, range) = match range {
+            Some(range) => ("206 Partial Content", range),
+            None => ("200 OK", 0..length),
+        };
+        let id = head.header(REQUEST_ID).unwrap_or(head.path());
+        let mut text = format!(
+            "HTTP/1.1 {status}\r\n{ANSWER_FOR}: {id}\r\netag: {etag}\r\naccept-ranges: bytes\r\n"
+        );
+        if range.start > 0 {
+            let last = length.saturating_sub(1);
+            let _ = write!(
+                text,
+                "content-range: bytes {}-{last}/{length}\r\n",
+                range.start
+            );
+        }
+        let chunked = head.parameter("chunked").is_some();
+        if chunked {
+            text += "transfer-encoding: chunked\r\n\r\n";
+        } else {
+            let _ = write!(text, "content-length: {}\r\n\r\n", range.end - range.start);
+        }
+        self.tx.write_all(text.as_bytes()).await?;
+        self.step(FaultStep::HeadSent).await?;
+        self.write_body(head, range, chunked).await
+    }
+
+    async fn write_body(
+        &mut self,
+        head: &Head,
+        range: Range<u64>,
+        chunked: bool,
+    ) -> io::Result<()> {
+        let seed = content_seed(&head.target);
+        let half = range.start + (range.end - range.start) / 2;
+        self.write_pieces(seed, range.start..half, chunked).await?;
+        self.step(FaultStep::HalfBody).await?;
+        self.write_pieces(seed, half..range.end, chunked).await?;
+        if chunked {
+            self.tx.write_all(b"0\r\n\r\n").await?;
+        }
+        Ok(())
+    }
+
+    async fn write_pieces(
+        &mut self,
+        seed: u64,
+        mut range: Range<u64>,
+        chunked: bool,
+    ) -> io::Result<()> {
+        while range.start < range.end {
+            let end = range.end.min(range.start + PIECE_BYTES);
+            let mut piece = Vec::new();
+            if chunked {
+                piece.extend(format!("{:x}\r\n", end - range.start).bytes());
+            }
+            piece.extend((range.start..end).map(|offset| content_byte(seed, offset)));
+            if chunked {
+                piece.extend(b"\r\n");
+            }
+            self.tx.write_all(&piece).await?;
+            range.start = end;
+        }
+        Ok(())
+    }
+}
+
+/// The range that a request asks for, if its validator holds.
+fn wanted_range(head: &Head, length: u64, etag: &str) -> Option<Range<u64>> {
+    if head.header("if-range").is_some_and(|wanted| wanted != etag) {
+        return None;
+    }
+    let (start, end) = head
+        .header("range")?
+        .strip_prefix("bytes=")?
+        .split_once('-')?;
+    let start: u64 = start.parse().ok()?;
+    let end = end.parse::<u64>().map_or(length, |last| last + 1);
+    (start < end && end <= length).then_some(start..end)
+}
--- /dev/null
+++ b/trefoillock-stand-ins/src/backend_server/run_log.rs
@@ -0,0 +1,50 @@
+//! The log of all runs.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+/// Counts the runs of each request, over all backend servers that share the log.
+#[derive(Debug, Clone, Default)]
+pub struct RunLog {
+    runs: Arc<Mutex<BTreeMap<String, u32>>>,
+}
+
+impl RunLog {
+    /// Creates an empty log.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a run of a request.
+    pub fn record(&self, id: &str) {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        *runs.entry(id.to_owned()).or_default() += 1;
+    }
+
+    /// The number of runs of a request.
+    #[must_use]
+    pub fn runs(&self, id: &str) -> u32 {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.get(id).copied().unwrap_or(0)
+    }
+
+    /// The number of runs of all requests.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.values().map(|count| u64::from(*count)).sum()
+    }
+
+    /// The requests that ran more than once and fulfil a condition.
+    #[must_use]
+    pub fn doubled(&self, condition: impl Fn(&str) -> bool) -> Vec<String> {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let doubled = runs
+            .iter()
+            .filter(|(id, count)| **count > 1 && condition(id));
+        doubled.map(|(id, _)| id.clone()).collect()
+    }
+}
