feat(calls): count service levels with the evidence, and use the platform's clock

Change: EvidenceRecorder::drain fills service_levels; totals() gives counts by outcome for metrics; the clock of trefoillock-backend is gone. Not measured.

--- a/trefoillock-backend/src/interface.rs
+++ b/trefoillock-backend/src/interface.rs
@@ -8,10 +8,9 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::Announcement;
+use trefoillock_platform::Clock;
 
-use crate::{
-    AnnounceError, Announcements, Clock, LEASE, LoadReport, LocalServers, lease::LEASE_CHECK,
-};
+use crate::{AnnounceError, Announcements, LEASE, LoadReport, LocalServers, lease::LEASE_CHECK};
 
 /// Holds what the backend servers beside a node announce.
 ///
--- a/trefoillock-backend/src/lib.rs
+++ b/trefoillock-backend/src/lib.rs
@@ -13,7 +13,6 @@
 mod announcements;
 mod answer_body;
 mod body;
-mod clock;
 mod connection;
 mod failure;
 mod interface;
@@ -25,7 +24,6 @@
 
 pub use announcements::{AnnounceError, Announcements};
 pub use body::{Body, BodyError, DeadlineBody, box_body, empty_body, text_body};
-pub use clock::Clock;
 pub use failure::{CallFailure, Crash, Execution, NotSent};
 pub use interface::BackendInterface;
 pub use lease::LEASE;
--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -4,8 +4,9 @@
 
 use http::{Request, Response};
 use tokio_util::task::TaskTracker;
-use trefoillock_backend::{Body, CallFailure, Clock, LocalServers};
+use trefoillock_backend::{Body, CallFailure, LocalServers};
 use trefoillock_core::{DataCentre, Incarnation, Member, NodeId};
+use trefoillock_platform::Clock;
 use trefoillock_rpc::Token;
 
 use crate::{Delivery, EvidenceRecorder, NodeView, destination, peer_clients::PeerClients};
--- a/trefoillock-node/src/recorder.rs
+++ b/trefoillock-node/src/recorder.rs
@@ -85,7 +85,8 @@
 #[derive(Debug, Default)]
 struct Shard {
     moves: BTreeMap<MoveId, MoveEvidence>,
-    services: Map<RouteName, (RouteClass, ServiceCounts)>,
+    service_levels: BTreeMap<RouteName, ServiceCount>,
+    totals: Map<RouteName, (RouteClass, ServiceCounts)>,
 }
 
 /// Counts of how calls ended, in shards that are each under their own lock.
@@ -116,26 +117,26 @@
             _ => false,
         };
         let mut shard = lock(&self.shards[shard_of_thread()]);
-        if let Some((_, counts)) = shard.services.get_mut(record.route) {
-            counts.record(record.seen.outcome(), good);
-        } else {
-            let mut counts = ServiceCounts::default();
-            counts.record(record.seen.outcome(), good);
-            let route = record.route.clone();
-            shard.services.insert(route, (record.class, counts));
-        }
+        count_service(&mut shard, record, good);
         if let Some(in_move) = record.in_move {
             record_move(&mut shard.moves, in_move, record.seen);
         }
     }
 
-    /// Takes the evidence on moves since the last time.
+    /// Takes the evidence on moves and the service-level counts since the last time.
     #[must_use]
     pub fn drain(&self) -> Evidence {
         let mut evidence = Evidence::default();
         for shard in &self.shards {
-            let moves = std::mem::take(&mut lock(shard).moves);
-            evidence.merge(&Evidence { moves });
+            let (moves, service_levels) = {
+                let mut shard = lock(shard);
+                let moves = std::mem::take(&mut shard.moves);
+                (moves, std::mem::take(&mut shard.service_levels))
+            };
+            evidence.merge(&Evidence {
+                moves,
+                service_levels,
+            });
         }
         for id in self.cuts.load().iter() {
             if let Some(evidence) = evidence.moves.get_mut(id) {
@@ -145,17 +146,15 @@
         evidence
     }
 
-    /// Takes the counts by route since the last time.
+    /// The counts by route since the start.
     #[must_use]
-    pub fn drain_services(&self) -> Vec<RouteCounts> {
+    pub fn totals(&self) -> Vec<RouteCounts> {
         let mut merged: BTreeMap<RouteName, (RouteClass, ServiceCounts)> = BTreeMap::new();
         for shard in &self.shards {
-            let services = std::mem::take(&mut lock(shard).services);
-            for (route, (class, counts)) in services {
-                let entry = merged
-                    .entry(route)
-                    .or_insert((class, ServiceCounts::default()));
-                entry.1.merge(&counts);
+            for (route, (class, counts)) in &lock(shard).totals {
+                let fresh = (*class, ServiceCounts::default());
+                let entry = merged.entry(route.clone()).or_insert(fresh);
+                entry.1.merge(counts);
             }
         }
         let rows = merged.into_iter();
@@ -193,6 +192,29 @@
     }
 }
 
+fn count_service(shard: &mut Shard, record: &CallRecord<'_>, good: bool) {
+    let level = ServiceCount {
+        good: u64::from(good),
+        bad: u64::from(!good),
+    };
+    match shard.service_levels.get_mut(record.route) {
+        Some(held) => held.merge(level),
+        None => {
+            shard.service_levels.insert(record.route.clone(), level);
+        }
+    }
+    let outcome = record.seen.outcome();
+    match shard.totals.get_mut(record.route) {
+        Some((_, counts)) => counts.record(outcome, good),
+        None => {
+            let mut counts = ServiceCounts::default();
+            counts.record(outcome, good);
+            let route = record.route.clone();
+            shard.totals.insert(route, (record.class, counts));
+        }
+    }
+}
+
 fn record_move(moves: &mut BTreeMap<MoveId, MoveEvidence>, call: MoveCall, seen: Seen) {
     let evidence = moves.entry(call.id).or_default();
     if evidence.step > call.step {
--- a/trefoillock-stand-ins/src/call_mesh.rs
+++ b/trefoillock-stand-ins/src/call_mesh.rs
@@ -9,12 +9,13 @@
 
 use tokio::{net::TcpListener, runtime::Runtime, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
-use trefoillock_backend::{BackendInterface, Clock};
+use trefoillock_backend::BackendInterface;
 use trefoillock_core::{
     Announcement, Config, DataCentre, Incarnation, Member, Members, MembersVersion, NodeId,
     ServerId, Term,
 };
 use trefoillock_node::NodeContext;
+use trefoillock_platform::Clock;
 use trefoillock_rpc::Token;
 
 /// One node with its own runtime, so that it can die as a process would.
