--- a/trefoillock-node/src/recorder.rs
+++ b/trefoillock-node/src/recorder.rs
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwap;
 use trefoillock_core::{
     CrashReport, Evidence, Map, MoveEvidence, MoveId, Outcome, PoolEvidence, RouteClass, RouteName,
-    Set,
+    ServiceCount, Set,
 };
 
 use crate::{RouteCounts, ServiceCounts};
--- a/trefoillock-stand-ins/src/call_mesh.rs
+++ b/trefoillock-stand-ins/src/call_mesh.rs
@@ -40,7 +40,7 @@
     pub fn start(name: &str, token: Token, threads: usize) -> io::Result<Self> {
         let id = NodeId::try_from(name).map_err(io::Error::other)?;
         let data_centre = DataCentre::try_from("dc-a").map_err(io::Error::other)?;
-        let clock = Clock::new();
+        let clock = Clock::start();
         let interface = Arc::new(BackendInterface::new(clock));
         let servers = interface.servers();
         let incarnation = Incarnation::new(1);
