--- a/trefoillock-node/src/recorder.rs
+++ b/trefoillock-node/src/recorder.rs
@@ -204,15 +204,11 @@
         }
     }
     let outcome = record.seen.outcome();
-    match shard.totals.get_mut(record.route) {
-        Some((_, counts)) => counts.record(outcome, good),
-        None => {
-            let mut counts = ServiceCounts::default();
-            counts.record(outcome, good);
-            let route = record.route.clone();
-            shard.totals.insert(route, (record.class, counts));
-        }
-    }
+    let (_, counts) = shard
+        .totals
+        .entry(record.route.clone())
+        .or_insert_with(|| (record.class, ServiceCounts::default()));
+    counts.record(outcome, good);
 }
 
 fn record_move(moves: &mut BTreeMap<MoveId, MoveEvidence>, call: MoveCall, seen: Seen) {
