--- a/trefoillock-control/src/child.rs
+++ b/trefoillock-control/src/child.rs
@@ -5,7 +5,8 @@
 use trefoillock_core::{NodeId, Timestamp};
 
 use crate::{
-    AckSummary, Held, Hello, LostNode, NodeRecord, Repair, Report, SubtreeChange, rounds::Rounds,
+    AckSummary, Held, Hello, LostNode, NodeRecord, Repair, Report, SubtreeChange, SubtreeDigest,
+    rounds::Rounds,
 };
 
 /// What a parent knows of one child and of the nodes below it.
@@ -90,6 +91,7 @@
             self.apply(change);
         }
         self.note(now, report);
+        self.wants_hello |= SubtreeDigest::of(self.subtree.values()) != report.below;
         Some(changes)
     }
 
@@ -104,8 +106,11 @@
     fn apply(&mut self, change: &SubtreeChange) {
         match change {
             SubtreeChange::Joined(record) if record.node == self.record.node => {
-                self.record = record.clone();
+                if record.order() >= self.record.order() {
+                    self.record = record.clone();
+                }
             }
+            SubtreeChange::Left(lost) if lost.node == self.record.node => {}
             SubtreeChange::Joined(record) => {
                 let held = self.subtree.get(&record.node);
                 if held.is_none_or(|held| held.order() <= record.order()) {
--- a/trefoillock-control/src/distributor.rs
+++ b/trefoillock-control/src/distributor.rs
@@ -23,6 +23,15 @@
     }
 }
 
+/// The way from a child to the leader.
+#[derive(Debug, Clone, Default)]
+pub struct Route {
+    /// The relays above the child, from the top down.
+    pub path: Vec<NodeId>,
+    /// Other relays that can serve as parent.
+    pub alternates: Vec<SocketAddr>,
+}
+
 /// What came of a message of a child.
 #[derive(Debug, Default)]
 pub struct Taken {
@@ -167,14 +176,15 @@
 
     /// The answer to a report of a child.
     #[must_use]
-    pub fn beat(&self, key: ChildKey, floor: Floor, alternates: &[SocketAddr]) -> Option<Beat> {
+    pub fn beat(&self, key: ChildKey, floor: Floor, route: &Route) -> Option<Beat> {
         let child = self.children.get(&key)?;
         Some(Beat {
             confirmed_round: child.rounds().confirmed(),
             floor,
             evidence_taken: child.evidence_taken(),
             wants_hello: child.wants_hello(),
-            alternates: alternates.to_vec(),
+            path: route.path.clone(),
+            alternates: route.alternates.clone(),
         })
     }
 
--- a/trefoillock-control/src/lib.rs
+++ b/trefoillock-control/src/lib.rs
@@ -46,7 +46,7 @@
 pub use members_holder::MembersHolder;
 pub use message::{
     Beat, DownMessage, Floor, Held, Hello, LostNode, NodeRecord, ParentAddress, ParentKind,
-    RecordOrder, Repair, Report, SubtreeChange, UpMessage, Update,
+    RecordOrder, Repair, Report, SubtreeChange, SubtreeDigest, UpMessage, Update,
 };
 pub use node_machine::{NodeEffect, NodeIdentity, NodeMachine};
 pub use payload::{ConfigUpdate, MembersUpdate, Payload};
--- a/trefoillock-control/src/message.rs
+++ b/trefoillock-control/src/message.rs
@@ -5,6 +5,7 @@
 use trefoillock_core::{
     Announcement, ConfigVersion, DataCentre, Incarnation, MembersVersion, NodeId, data,
 };
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{AckSummary, ConfigMark, EvidenceBatch, Payload};
 
@@ -86,6 +87,30 @@
     }
 }
 
+/// A number that tells whether two processes know the same of a part of the tree.
+#[data(key)]
+#[derive(Default)]
+pub struct SubtreeDigest(u64);
+
+impl SubtreeDigest {
+    /// The digest of records, in any order.
+    #[must_use]
+    pub fn of<'a>(records: impl Iterator<Item = &'a NodeRecord>) -> Self {
+        let mut digest = 0;
+        for record in records {
+            let RecordOrder {
+                incarnation,
+                attachment,
+                revision,
+            } = record.order();
+            let numbers = [incarnation.get(), attachment, revision].map(u64::to_le_bytes);
+            let seed = xxh3_64(record.node.as_str().as_bytes());
+            digest ^= xxh3_64_with_seed(numbers.as_flattened(), seed);
+        }
+        Self(digest)
+    }
+}
+
 /// A change of the part of the tree below a relay.
 #[data]
 pub enum SubtreeChange {
@@ -148,6 +173,8 @@
     pub nodes_known: u32,
     /// The versions that the child and the nodes below it serve.
     pub acks: AckSummary,
+    /// What the child knows of the nodes below it, once the changes are applied.
+    pub below: SubtreeDigest,
     /// Changes below the child since the report before.
     pub changes: Vec<SubtreeChange>,
     /// Evidence of the child and the nodes below it.
@@ -184,6 +211,8 @@
     pub evidence_taken: u64,
     /// Whether a report of the child was lost, so that it must send its state as a whole.
     pub wants_hello: bool,
+    /// The relays above the child, from the top down.
+    pub path: Vec<NodeId>,
     /// Other nodes that can serve as parent when this one is lost and the leader is out.
     pub alternates: Vec<SocketAddr>,
 }
--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -11,8 +11,9 @@
 use crate::{
     AckSummary, Admission, Beat, ChildKey, ConfigHolder, ConfigUpdate, Distributor, DownMessage,
     EvidenceOutbox, Floor, Held, Hello, LinkAction, LinkId, MembersHolder, MembersUpdate,
-    NodeRecord, ParentAddress, Payload, Repair, Report, SubtreeChange, UpMessage, Update, Uplink,
-    distributor::{Taken, retry_after},
+    NodeRecord, ParentAddress, Payload, Repair, Report, SubtreeChange, SubtreeDigest, UpMessage,
+    Update, Uplink,
+    distributor::{Route, Taken, retry_after},
     timing::{MAX_CHILDREN, MIN_REPORT_INTERVAL, REPORT_INTERVAL},
 };
 
@@ -22,6 +23,8 @@
 const RETRY: Duration = Duration::from_millis(200);
 /// The largest number of other parents that are remembered.
 const MAX_ALTERNATES: usize = 4;
+/// The largest number of relays above a node.
+const MAX_DEPTH: usize = 12;
 
 /// Who a node is.
 #[data]
@@ -66,6 +69,7 @@
     outbox: EvidenceOutbox,
     rng: Pcg64Mcg,
     floor: Floor,
+    path: Vec<NodeId>,
     alternates: Vec<SocketAddr>,
     round: u64,
     confirmed_round: u64,
@@ -101,6 +105,7 @@
             outbox: EvidenceOutbox::default(),
             rng,
             floor: Floor::default(),
+            path: Vec::new(),
             alternates: Vec::new(),
             round: 0,
             confirmed_round: 0,
@@ -181,6 +186,7 @@
         self.record.revision += 1;
         self.record.parent = None;
         self.sequence = 0;
+        self.path.clear();
         self.outbox.change_parent();
     }
 
@@ -188,8 +194,7 @@
         if !is_probe {
             self.changes.clear();
         }
-        let mut report = self.next_report(is_probe);
-        report.changes.clear();
+        let report = self.next_report(is_probe);
         Hello {
             record: self.record.clone(),
             is_probe,
@@ -217,7 +222,8 @@
             repair: self.repair,
             nodes_known: u32::try_from(known).unwrap_or(u32::MAX),
             acks: self.acks(),
-            changes: std::mem::take(&mut self.changes),
+            below: SubtreeDigest::of(self.distributor.records()),
+            changes: Vec::new(),
             evidence: None,
         }
     }
@@ -245,6 +251,7 @@
             self.last_report = now;
             self.is_prompt = false;
             let mut report = self.next_report(false);
+            report.changes = std::mem::take(&mut self.changes);
             report.evidence = self.outbox.batch(now);
             let report = UpMessage::Report(Box::new(report));
             self.effects.push(NodeEffect::SendUp(link, report));
@@ -280,6 +287,13 @@
     }
 
     fn on_beat(&mut self, now: Timestamp, link: LinkId, beat: &Beat) {
+        let is_loop = beat.path.contains(&self.record.node) || beat.path.len() > MAX_DEPTH;
+        if is_loop {
+            self.path.clear();
+            self.uplink.on_loop(now, link, &mut self.rng);
+            return;
+        }
+        self.path.clone_from(&beat.path);
         let is_confirmed = beat.confirmed_round > self.confirmed_round;
         self.uplink.on_heard(now, link, is_confirmed);
         self.outbox.confirm(beat.evidence_taken);
@@ -407,8 +421,9 @@
     fn admit(&mut self, now: Timestamp, hello: &Hello) -> Result<(), DownMessage> {
         let holds_nothing = self.config.held().is_none() && self.uplink.attached().is_none();
         let is_full = self.distributor.len() >= MAX_CHILDREN;
-        let is_self = hello.record.node == self.record.node;
-        if holds_nothing || is_full || is_self || hello.is_probe {
+        let node = &hello.record.node;
+        let is_above = *node == self.record.node || self.path.contains(node);
+        if holds_nothing || is_full || is_above || hello.is_probe {
             return Err(retry_after(RETRY));
         }
         let admitted = self.admission.admit(now, &hello.record.node);
@@ -431,10 +446,19 @@
     }
 
     fn answer(&mut self, key: ChildKey) {
-        let mut alternates: Vec<SocketAddr> = self.uplink.relay().into_iter().collect();
-        alternates.extend(&self.alternates);
-        alternates.truncate(MAX_ALTERNATES);
-        if let Some(beat) = self.distributor.beat(key, self.floor, &alternates) {
+        let is_attached = self.uplink.attached().is_some();
+        let mut route = Route {
+            path: if is_attached {
+                self.path.clone()
+            } else {
+                Vec::new()
+            },
+            alternates: self.uplink.relay().into_iter().collect(),
+        };
+        route.path.push(self.record.node.clone());
+        route.alternates.extend(&self.alternates);
+        route.alternates.truncate(MAX_ALTERNATES);
+        if let Some(beat) = self.distributor.beat(key, self.floor, &route) {
             let beat = DownMessage::Beat(Box::new(beat));
             self.effects.push(NodeEffect::SendDown(key, beat));
         }
--- a/trefoillock-control/src/source_machine.rs
+++ b/trefoillock-control/src/source_machine.rs
@@ -16,7 +16,7 @@
     Admission, ChildKey, ConfigMark, Distributor, DownMessage, FleetStatus, Floor, Hello,
     MemberTable, MembersDelta, MembersUpdate, ParentAddress, Payload, Placement, SubtreeChange,
     TreePlan, UpMessage,
-    distributor::{Taken, retry_after},
+    distributor::{Route, Taken, retry_after},
     timing::{LEADER_GRACE, LEADER_GRACE_LIMIT, MEMBERS_WINDOW},
 };
 
@@ -283,8 +283,11 @@
                 MembersVersion::default()
             },
         };
-        let alternates = self.alternates(key);
-        if let Some(beat) = self.distributor.beat(key, floor, &alternates) {
+        let route = Route {
+            path: Vec::new(),
+            alternates: self.alternates(key),
+        };
+        if let Some(beat) = self.distributor.beat(key, floor, &route) {
             let beat = DownMessage::Beat(Box::new(beat));
             self.effects.push(SourceEffect::Send(key, beat));
         }
--- a/trefoillock-control/src/uplink.rs
+++ b/trefoillock-control/src/uplink.rs
@@ -295,6 +295,12 @@
         }
     }
 
+    /// Leaves a parent that hangs below this node.
+    pub fn on_loop(&mut self, now: Timestamp, id: LinkId, rng: &mut Pcg64Mcg) {
+        self.alternates.clear();
+        self.on_closed(now, id, rng);
+    }
+
     /// Notes that a connection ended.
     pub fn on_closed(&mut self, now: Timestamp, id: LinkId, rng: &mut Pcg64Mcg) {
         if self.probe.is_some_and(|probe| probe.id == id) {
--- a/trefoillock-stand-ins/src/fleet/mod.rs
+++ b/trefoillock-stand-ins/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod network;
 mod place;
 pub mod sample;
+mod transport;
 
 pub use checks::Checks;
 pub use faults::Faults;
--- a/trefoillock-stand-ins/src/fleet/naive.rs
+++ b/trefoillock-stand-ins/src/fleet/naive.rs
@@ -8,7 +8,7 @@
 use trefoillock_control::{ConfigUpdate, Payload};
 use trefoillock_core::Config;
 
-use super::{Place, network::LINK_BYTES_PER_SECOND};
+use super::{Place, transport::LINK_BYTES_PER_SECOND};
 
 /// The naive source of a fleet.
 #[derive(Debug, Clone, Copy)]
--- a/trefoillock-stand-ins/src/fleet/network.rs
+++ b/trefoillock-stand-ins/src/fleet/network.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -10,8 +9,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use trefoillock_control::{
-    ChildKey, DownMessage, LinkId, NodeEffect, NodeIdentity, NodeMachine, Payload, SourceEffect,
-    SourceMachine, SourceRole, SourceState, UpMessage,
+    ChildKey, LinkId, NodeEffect, NodeIdentity, NodeMachine, SourceEffect, SourceMachine,
+    SourceRole, SourceState, UpMessage,
 };
 use trefoillock_core::{Config, Incarnation, Map, Timestamp};
 
@@ -20,15 +19,13 @@
     event::Event,
     place::{control_address, node_address, node_name},
     sample,
+    transport::Connection,
 };
 
 /// The time between two ticks of a control replica.
 const CONTROL_TICK: Duration = Duration::from_millis(25);
 /// The time between two ticks of a node.
 const NODE_TICK: Duration = Duration::from_millis(50);
-/// The rate at which a process can send, in bytes a second: a link of 1 Gbit/s.
-pub(super) const LINK_BYTES_PER_SECOND: u64 = 125_000_000;
-
 /// A process of the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Process {
@@ -64,42 +61,31 @@
     pub busy: Duration,
 }
 
-#[derive(Debug)]
-struct Connection {
-    node: usize,
-    node_run: u64,
-    link: LinkId,
-    parent: Process,
-    parent_run: u64,
-    key: ChildKey,
-    last_up: Timestamp,
-    last_down: Timestamp,
-}
-
-struct NodeSlot {
-    machine: Option<NodeMachine>,
-    run: u64,
+pub(super) struct NodeSlot {
+    pub(super) machine: Option<NodeMachine>,
+    pub(super) run: u64,
 }
 
 /// Control replicas and nodes on an in-memory network under virtual time.
 pub struct Fleet {
-    size: FleetSize,
-    now: Timestamp,
-    rng: Pcg64Mcg,
-    events: BTreeMap<(Timestamp, u64), Event>,
-    next_event: u64,
-    controls: Vec<SourceMachine>,
-    nodes: Vec<NodeSlot>,
-    connections: Vec<Connection>,
-    links: Map<(usize, u64, LinkId), usize>,
-    keys: Map<(Process, u64, ChildKey), usize>,
-    skews: Map<Process, Duration>,
-    isolated: BTreeSet<Process>,
-    egress_free: Map<Process, Timestamp>,
-    loads: Map<Process, ProcessLoad>,
-    counts_bytes: bool,
-    faults: Faults,
-    checks: Checks,
+    pub(super) size: FleetSize,
+    pub(super) now: Timestamp,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) events: BTreeMap<(Timestamp, u64), Event>,
+    pub(super) next_event: u64,
+    pub(super) controls: Vec<SourceMachine>,
+    pub(super) nodes: Vec<NodeSlot>,
+    pub(super) connections: Vec<Connection>,
+    pub(super) links: Map<(usize, u64, LinkId), usize>,
+    pub(super) keys: Map<(Process, u64, ChildKey), usize>,
+    pub(super) skews: Map<Process, Duration>,
+    pub(super) isolated: BTreeSet<Process>,
+    pub(super) cuts: BTreeSet<(Process, Process)>,
+    pub(super) egress_free: Map<Process, Timestamp>,
+    pub(super) loads: Map<Process, ProcessLoad>,
+    pub(super) counts_bytes: bool,
+    pub(super) faults: Faults,
+    pub(super) checks: Checks,
 }
 
 impl Fleet {
@@ -122,6 +108,7 @@
             keys: Map::default(),
             skews: Map::default(),
             isolated: BTreeSet::new(),
+            cuts: BTreeSet::new(),
             egress_free: Map::default(),
             loads: Map::default(),
             counts_bytes,
@@ -230,6 +217,17 @@
         }
     }
 
+    /// Cuts a node off from a parent without a trace.
+    pub fn cut(&mut self, node: usize, parent: Process) {
+        self.cuts.insert((Process::Node(node), parent));
+    }
+
+    /// Ends all cuts and isolations.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.isolated.clear();
+    }
+
     /// Sets the clock of a process forward.
     pub fn step_clock(&mut self, process: Process, by: Duration) {
         *self.skews.entry(process).or_default() += by;
@@ -268,11 +266,11 @@
         is_done(self)
     }
 
-    fn schedule(&mut self, after: Duration, event: Event) {
+    pub(super) fn schedule(&mut self, after: Duration, event: Event) {
         self.schedule_at(self.now + after, event);
     }
 
-    fn schedule_at(&mut self, at: Timestamp, event: Event) {
+    pub(super) fn schedule_at(&mut self, at: Timestamp, event: Event) {
         self.next_event += 1;
         self.events.insert((at, self.next_event), event);
     }
@@ -298,10 +296,10 @@
                     self.run_effects(parent);
                 }
             }
-            Event::Down(id, message) => self.to_child(id, |node, now, link| {
+            Event::Down(id, message) => self.reach_child(id, |node, now, link| {
                 node.on_down(now, link, &message);
             }),
-            Event::DownClosed(id) => self.to_child(id, |node, now, link| {
+            Event::DownClosed(id) => self.reach_child(id, |node, now, link| {
                 node.on_link_closed(now, link);
             }),
         }
@@ -323,7 +321,7 @@
         self.run_effects(parent);
     }
 
-    fn to_child(&mut self, id: usize, act: impl FnOnce(&mut NodeMachine, Timestamp, LinkId)) {
+    fn reach_child(&mut self, id: usize, act: impl FnOnce(&mut NodeMachine, Timestamp, LinkId)) {
         let connection = &self.connections[id];
         let (at, run, link) = (connection.node, connection.node_run, connection.link);
         let child = Process::Node(at);
@@ -331,7 +329,7 @@
             let now = self.now_of(child);
             self.count(child, |load| load.messages += 1);
             self.timed(child, |fleet| {
-                fleet.with_node(at, |node| act(node, now, link))
+                fleet.with_node(at, |node| act(node, now, link));
             });
             self.run_effects(child);
         }
@@ -347,6 +345,14 @@
             Process::Node(at) => fleet.with_node(at, |node| node.on_tick(now)),
         });
         self.run_effects(process);
+        if let Process::Control(at) = process
+            && !self.counts_bytes
+            && self.controls[at].is_leading()
+        {
+            let status = self.controls[at].status();
+            let known = self.controls[at].known_nodes();
+            self.checks.check_status(&status, known);
+        }
         let interval = match process {
             Process::Control(_) => CONTROL_TICK,
             Process::Node(_) => NODE_TICK,
@@ -356,25 +362,23 @@
 
     fn run_effects(&mut self, process: Process) {
         match process {
-            Process::Control(at) => {
-                let members = self.controls[at].members().clone();
-                self.checks.note_members(&members);
-                if !self.counts_bytes && self.controls[at].is_leading() {
-                    let status = self.controls[at].status();
-                    let known = self.controls[at].known_nodes();
-                    self.checks.check_status(&status, known);
-                }
-                for effect in self.controls[at].take_effects() {
-                    match effect {
-                        SourceEffect::Send(key, message) => self.send_down(process, key, message),
-                        SourceEffect::Close(key) => self.close_down(process, key),
-                    }
-                }
-            }
+            Process::Control(at) => self.run_control_effects(at),
             Process::Node(at) => self.run_node_effects(at),
         }
     }
 
+    fn run_control_effects(&mut self, at: usize) {
+        let process = Process::Control(at);
+        let control = &mut self.controls[at];
+        self.checks.note_members(control.members());
+        for effect in control.take_effects() {
+            match effect {
+                SourceEffect::Send(key, message) => self.send_down(process, key, &message),
+                SourceEffect::Close(key) => self.close_down(process, key),
+            }
+        }
+    }
+
     fn run_node_effects(&mut self, at: usize) {
         let run = self.nodes[at].run;
         let Some(machine) = &mut self.nodes[at].machine else {
@@ -386,174 +390,29 @@
         for effect in effects {
             match effect {
                 NodeEffect::Open(link, address) => self.open(at, link, address.address),
-                NodeEffect::SendUp(link, message) => self.send_up(at, link, message),
+                NodeEffect::SendUp(link, message) => self.send_up(at, link, &message),
                 NodeEffect::CloseLink(link) => self.close_up(at, link),
-                NodeEffect::SendDown(key, message) => self.send_down(process, key, message),
+                NodeEffect::SendDown(key, message) => self.send_down(process, key, &message),
                 NodeEffect::CloseChild(key) => self.close_down(process, key),
             }
         }
     }
 
-    fn open(&mut self, at: usize, link: LinkId, address: SocketAddr) {
-        let Some(parent) = self.process_at(address) else {
-            return;
-        };
-        let id = self.connections.len();
-        let parent_run = self.run_of(parent);
-        let node_run = self.nodes[at].run;
-        let key = ChildKey::new(id as u64);
-        self.connections.push(Connection {
-            node: at,
-            node_run,
-            link,
-            parent,
-            parent_run,
-            key,
-            last_up: self.now,
-            last_down: self.now,
-        });
-        self.links.insert((at, node_run, link), id);
-        self.keys.insert((parent, parent_run, key), id);
-        if !self.is_running(parent, parent_run) && !self.is_cut(id) {
-            let latency = self.latency(id) * 2;
-            self.schedule(latency, Event::DownClosed(id));
-        }
-    }
-
-    fn send_up(&mut self, at: usize, link: LinkId, message: UpMessage) {
-        let run = self.nodes[at].run;
-        if let Some(id) = self.links.get(&(at, run, link)).copied() {
-            let bytes = if self.counts_bytes {
-                Payload::encode(&message).len()
-            } else {
-                0
-            };
-            let parent = self.connections[id].parent;
-            for arrival in self.arrivals(id, Process::Node(at), parent, bytes, true) {
-                self.schedule_at(arrival, Event::Up(id, message.clone()));
-            }
-        }
-    }
-
-    fn send_down(&mut self, parent: Process, key: ChildKey, message: DownMessage) {
-        let run = self.run_of(parent);
-        if let Some(id) = self.keys.get(&(parent, run, key)).copied() {
-            let bytes = if self.counts_bytes {
-                size_of_down(&message)
-            } else {
-                0
-            };
-            let child = Process::Node(self.connections[id].node);
-            for arrival in self.arrivals(id, parent, child, bytes, false) {
-                self.schedule_at(arrival, Event::Down(id, message.clone()));
-            }
-        }
-    }
-
-    /// The times at which the copies of a message arrive.
-    fn arrivals(
-        &mut self,
-        id: usize,
-        from: Process,
-        to: Process,
-        bytes: usize,
-        is_up: bool,
-    ) -> Vec<Timestamp> {
-        let bytes = bytes as u64;
-        self.count(from, |load| {
-            load.sent += bytes;
-            load.messages += 1;
-        });
-        self.count(to, |load| load.received += bytes);
-        if self.is_cut(id) {
-            return Vec::new();
-        }
-        let micros = bytes * 1_000_000 / LINK_BYTES_PER_SECOND;
-        let now = self.now;
-        let free = self.egress_free.entry(from).or_default();
-        *free = (*free).max(now) + Duration::from_micros(micros);
-        let in_order = *free + self.latency(id);
-        let delays = self.faults.draw(&mut self.rng);
-        let connection = &mut self.connections[id];
-        let last = if is_up {
-            &mut connection.last_up
-        } else {
-            &mut connection.last_down
-        };
-        let arrival = |delay: Option<Duration>| match delay {
-            Some(delay) => in_order + delay,
-            None => {
-                *last = in_order.max(*last);
-                *last
-            }
-        };
-        delays.into_iter().map(arrival).collect()
-    }
-
-    fn close_up(&mut self, at: usize, link: LinkId) {
-        let run = self.nodes[at].run;
-        if let Some(id) = self.links.remove(&(at, run, link))
-            && !self.is_cut(id)
-        {
-            let arrival = self.connections[id]
-                .last_up
-                .max(self.now + self.latency(id));
-            self.schedule_at(arrival, Event::UpClosed(id));
-        }
-    }
-
-    fn close_down(&mut self, parent: Process, key: ChildKey) {
-        let run = self.run_of(parent);
-        if let Some(id) = self.keys.remove(&(parent, run, key))
-            && !self.is_cut(id)
-        {
-            let arrival = self.connections[id]
-                .last_down
-                .max(self.now + self.latency(id));
-            self.schedule_at(arrival, Event::DownClosed(id));
-        }
-    }
-
-    fn is_cut(&self, id: usize) -> bool {
-        let connection = &self.connections[id];
-        let node = Process::Node(connection.node);
-        self.isolated.contains(&node) || self.isolated.contains(&connection.parent)
-    }
-
-    fn latency(&self, id: usize) -> Duration {
-        let connection = &self.connections[id];
-        let node = self.place(Process::Node(connection.node));
-        node.latency_to(self.place(connection.parent))
-    }
-
-    fn process_at(&self, address: SocketAddr) -> Option<Process> {
-        let controls = (0..self.size.controls).find(|at| control_address(*at) == address);
-        let control = controls.map(Process::Control);
-        control.or_else(|| {
-            let SocketAddr::V4(v4) = address else {
-                return None;
-            };
-            let [_, _, high, low] = v4.ip().octets();
-            let at = usize::from(u16::from_be_bytes([high, low]));
-            (at < self.nodes.len()).then_some(Process::Node(at))
-        })
-    }
-
-    const fn place(&self, process: Process) -> Place {
+    pub(super) const fn place(&self, process: Process) -> Place {
         let (Process::Control(at) | Process::Node(at)) = process;
         Place {
             data_centre: at % self.size.data_centres,
         }
     }
 
-    fn run_of(&self, process: Process) -> u64 {
+    pub(super) fn run_of(&self, process: Process) -> u64 {
         match process {
             Process::Control(_) => 0,
             Process::Node(at) => self.nodes[at].run,
         }
     }
 
-    fn is_running(&self, process: Process, run: u64) -> bool {
+    pub(super) fn is_running(&self, process: Process, run: u64) -> bool {
         match process {
             Process::Control(_) => true,
             Process::Node(at) => {
@@ -574,7 +433,7 @@
         self.count(process, |load| load.busy += busy);
     }
 
-    fn count(&mut self, process: Process, change: impl FnOnce(&mut ProcessLoad)) {
+    pub(super) fn count(&mut self, process: Process, change: impl FnOnce(&mut ProcessLoad)) {
         change(self.loads.entry(process).or_default());
     }
 
@@ -618,14 +477,3 @@
         self.loads.clear();
     }
 }
-
-/// The size of a message on the wire, without framing.
-fn size_of_down(message: &DownMessage) -> usize {
-    match message {
-        DownMessage::Update(update) => {
-            let payloads = update.config.iter().chain(&update.members);
-            payloads.map(|payload| payload.len() + 8).sum::<usize>() + 32
-        }
-        other => Payload::encode(other).len(),
-    }
-}
--- a/trefoillock-stand-ins/src/fleet/place.rs
+++ b/trefoillock-stand-ins/src/fleet/place.rs
@@ -49,13 +49,13 @@
 
 /// The address of a control replica.
 #[must_use]
-pub fn control_address(at: usize) -> SocketAddr {
+pub(super) fn control_address(at: usize) -> SocketAddr {
     address(1, at)
 }
 
 /// The address of a node.
 #[must_use]
-pub fn node_address(at: usize) -> SocketAddr {
+pub(super) fn node_address(at: usize) -> SocketAddr {
     address(2, at)
 }
 
@@ -70,6 +70,6 @@
 ///
 /// Never: the name is valid.
 #[must_use]
-pub fn node_name(at: usize) -> NodeId {
+pub(super) fn node_name(at: usize) -> NodeId {
     format!("vm-{at:04}").try_into().expect("a valid name")
 }
--- a/trefoillock-stand-ins/src/fleet/sample.rs
+++ b/trefoillock-stand-ins/src/fleet/sample.rs
@@ -74,6 +74,7 @@
         let guards = (first..first + GUARDS_PER_SLOT).map(|at| guard(at % nodes.max(1)));
         GuardSet {
             epoch: 1,
+            previous_epoch: 0,
             guards: guards.collect(),
             previous: Vec::new(),
             lost_at: None,
--- /dev/null
+++ b/trefoillock-stand-ins/src/fleet/transport.rs
@@ -0,0 +1,184 @@
+//! Connections and messages of the in-memory network.
+
+use std::{net::SocketAddr, time::Duration};
+
+use trefoillock_control::{ChildKey, DownMessage, LinkId, Payload, UpMessage};
+use trefoillock_core::Timestamp;
+
+use super::{Fleet, Process, event::Event, place::control_address};
+
+/// The rate at which a process can send, in bytes a second: a link of 1 Gbit/s.
+pub(super) const LINK_BYTES_PER_SECOND: u64 = 125_000_000;
+
+/// A connection from a child to a parent.
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) node: usize,
+    pub(super) node_run: u64,
+    pub(super) link: LinkId,
+    pub(super) parent: Process,
+    pub(super) parent_run: u64,
+    pub(super) key: ChildKey,
+    pub(super) last_up: Timestamp,
+    pub(super) last_down: Timestamp,
+}
+
+impl Fleet {
+    pub(super) fn open(&mut self, at: usize, link: LinkId, address: SocketAddr) {
+        let Some(parent) = self.process_at(address) else {
+            return;
+        };
+        let id = self.connections.len();
+        let parent_run = self.run_of(parent);
+        let node_run = self.nodes[at].run;
+        let key = ChildKey::new(id as u64);
+        self.connections.push(Connection {
+            node: at,
+            node_run,
+            link,
+            parent,
+            parent_run,
+            key,
+            last_up: self.now,
+            last_down: self.now,
+        });
+        self.links.insert((at, node_run, link), id);
+        self.keys.insert((parent, parent_run, key), id);
+        if !self.is_running(parent, parent_run) && !self.is_cut(id) {
+            let latency = self.latency(id) * 2;
+            self.schedule(latency, Event::DownClosed(id));
+        }
+    }
+
+    pub(super) fn send_up(&mut self, at: usize, link: LinkId, message: &UpMessage) {
+        let run = self.nodes[at].run;
+        if let Some(id) = self.links.get(&(at, run, link)).copied() {
+            let bytes = if self.counts_bytes {
+                Payload::encode(message).len()
+            } else {
+                0
+            };
+            let parent = self.connections[id].parent;
+            for arrival in self.arrivals(id, Process::Node(at), parent, bytes, true) {
+                self.schedule_at(arrival, Event::Up(id, message.clone()));
+            }
+        }
+    }
+
+    pub(super) fn send_down(&mut self, parent: Process, key: ChildKey, message: &DownMessage) {
+        let run = self.run_of(parent);
+        if let Some(id) = self.keys.get(&(parent, run, key)).copied() {
+            let bytes = if self.counts_bytes {
+                size_of_down(message)
+            } else {
+                0
+            };
+            let child = Process::Node(self.connections[id].node);
+            for arrival in self.arrivals(id, parent, child, bytes, false) {
+                self.schedule_at(arrival, Event::Down(id, message.clone()));
+            }
+        }
+    }
+
+    /// The times at which the copies of a message arrive.
+    fn arrivals(
+        &mut self,
+        id: usize,
+        from: Process,
+        to: Process,
+        bytes: usize,
+        is_up: bool,
+    ) -> Vec<Timestamp> {
+        let bytes = bytes as u64;
+        self.count(from, |load| {
+            load.sent += bytes;
+            load.messages += 1;
+        });
+        self.count(to, |load| load.received += bytes);
+        if self.is_cut(id) {
+            return Vec::new();
+        }
+        let micros = bytes * 1_000_000 / LINK_BYTES_PER_SECOND;
+        let now = self.now;
+        let free = self.egress_free.entry(from).or_default();
+        *free = (*free).max(now) + Duration::from_micros(micros);
+        let in_order = *free + self.latency(id);
+        let delays = self.faults.draw(&mut self.rng);
+        let connection = &mut self.connections[id];
+        let last = if is_up {
+            &mut connection.last_up
+        } else {
+            &mut connection.last_down
+        };
+        let arrival = |delay: Option<Duration>| {
+            if let Some(delay) = delay {
+                return in_order + delay;
+            }
+            *last = in_order.max(*last);
+            *last
+        };
+        delays.into_iter().map(arrival).collect()
+    }
+
+    pub(super) fn close_up(&mut self, at: usize, link: LinkId) {
+        let run = self.nodes[at].run;
+        if let Some(id) = self.links.remove(&(at, run, link))
+            && !self.is_cut(id)
+        {
+            let arrival = self.connections[id]
+                .last_up
+                .max(self.now + self.latency(id));
+            self.schedule_at(arrival, Event::UpClosed(id));
+        }
+    }
+
+    pub(super) fn close_down(&mut self, parent: Process, key: ChildKey) {
+        let run = self.run_of(parent);
+        if let Some(id) = self.keys.remove(&(parent, run, key))
+            && !self.is_cut(id)
+        {
+            let arrival = self.connections[id]
+                .last_down
+                .max(self.now + self.latency(id));
+            self.schedule_at(arrival, Event::DownClosed(id));
+        }
+    }
+
+    fn is_cut(&self, id: usize) -> bool {
+        let connection = &self.connections[id];
+        let node = Process::Node(connection.node);
+        let is_isolated =
+            self.isolated.contains(&node) || self.isolated.contains(&connection.parent);
+        is_isolated || self.cuts.contains(&(node, connection.parent))
+    }
+
+    fn latency(&self, id: usize) -> Duration {
+        let connection = &self.connections[id];
+        let node = self.place(Process::Node(connection.node));
+        node.latency_to(self.place(connection.parent))
+    }
+
+    fn process_at(&self, address: SocketAddr) -> Option<Process> {
+        let controls = (0..self.size.controls).find(|at| control_address(*at) == address);
+        let control = controls.map(Process::Control);
+        control.or_else(|| {
+            let SocketAddr::V4(v4) = address else {
+                return None;
+            };
+            let [_, _, high, low] = v4.ip().octets();
+            let at = usize::from(u16::from_be_bytes([high, low]));
+            (at < self.nodes.len()).then_some(Process::Node(at))
+        })
+    }
+}
+
+/// The size of a message on the wire, without framing.
+fn size_of_down(message: &DownMessage) -> usize {
+    match message {
+        DownMessage::Update(update) => {
+            let payloads = update.config.iter().chain(&update.members);
+            payloads.map(|payload| payload.len() + 8).sum::<usize>() + 32
+        }
+        other => Payload::encode(other).len(),
+    }
+}
--- a/trefoillock-stand-ins/src/lib.rs
+++ b/trefoillock-stand-ins/src/lib.rs
@@ -5,7 +5,9 @@
 //!   call and a log of every run.
 //! - [`caller`]: a caller that checks that an answer is whole and its own.
 //! - [`call_mesh`]: nodes and backend servers in one process.
+//! - [`fleet`]: control replicas and nodes on an in-memory network under virtual time.
 
 pub mod backend_server;
 pub mod call_mesh;
 pub mod caller;
+pub mod fleet;
