--- a/trefoillock-policy/src/guard/keeper.rs
+++ b/trefoillock-policy/src/guard/keeper.rs
@@ -13,7 +13,7 @@
 ///
 /// For the rules that it follows see the module. Several keepers can divide the slots of a node
 /// among them, each under its own lock.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct GuardKeeper {
     node: NodeId,
     incarnation: Incarnation,
--- a/trefoillock-policy/src/guard/slot_keeper.rs
+++ b/trefoillock-policy/src/guard/slot_keeper.rs
@@ -15,7 +15,7 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
 /// The memory of one guard for one slot.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct SlotKeeper {
     /// The newest epoch of which this node is a guard.
     epoch: u64,
