feat(policy): add counts from elsewhere to the burn meter

Cause: the control replicas get service-level counts summed over nodes, not single calls. Change: BurnMeter::add; record uses it. Conclusion: one meter serves nodes and control.

--- a/trefoillock-policy/src/burn.rs
+++ b/trefoillock-policy/src/burn.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use trefoillock_core::{RouteClass, RouteName, ServiceTarget, Timestamp, data};
+use trefoillock_core::{RouteClass, RouteName, ServiceCount, ServiceTarget, Timestamp, data};
 
 /// The windows over which burn is reported, from the shortest to the longest.
 pub const BURN_WINDOWS: [Duration; 4] = [
@@ -53,7 +53,7 @@
         now.as_millis() / 1_000 / self.span.as_secs().max(1)
     }
 
-    fn record(&mut self, now: Timestamp, good: bool) {
+    fn add(&mut self, now: Timestamp, count: ServiceCount) {
         let number = self.number(now);
         let at = usize::try_from(number % self.buckets.len() as u64).unwrap_or(0);
         let bucket = &mut self.buckets[at];
@@ -63,8 +63,8 @@
                 ..Bucket::default()
             };
         }
-        bucket.good += u64::from(good);
-        bucket.bad += u64::from(!good);
+        bucket.good = bucket.good.saturating_add(count.good);
+        bucket.bad = bucket.bad.saturating_add(count.bad);
     }
 
     /// The sums of the buckets that lie within the window.
@@ -123,6 +123,22 @@
     ) {
         let limit = Duration::from_millis(u64::from(target.latency_ms));
         let good = answered_in.is_some_and(|latency| latency <= limit);
+        let count = ServiceCount {
+            good: u64::from(good),
+            bad: u64::from(!good),
+        };
+        self.add(now, route, class, target, count);
+    }
+
+    /// Adds calls of a route that were counted elsewhere.
+    pub fn add(
+        &mut self,
+        now: Timestamp,
+        route: &RouteName,
+        class: RouteClass,
+        target: ServiceTarget,
+        count: ServiceCount,
+    ) {
         if !self.routes.contains_key(route) {
             self.routes
                 .insert(route.clone(), RouteBurn::new(class, target));
@@ -133,7 +149,7 @@
         burn.class = class;
         burn.target = target;
         for ring in &mut burn.rings {
-            ring.record(now, good);
+            ring.add(now, count);
         }
     }
 
