feat(calls): let the policies decide on balance, retries, hedges, admission, keys and crashes

Cause: the thin path sent each call to the first backend server of its pool. Change: the destination admits calls by Admission (slots, connections, queues by class); the entry chooses by Balancer, retries by RetryBudget, hedges lookups, refuses quarantined requests, claims idempotency keys at the guards (messages on the peer port under /guard/), and resumes exports by range. core gains stable_hash, the same in every process and release.

--- a/trefoillock-backend/src/answer_body.rs
+++ b/trefoillock-backend/src/answer_body.rs
@@ -10,9 +10,8 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::OwnedSemaphorePermit;
 
-use crate::{Body, BodyError, LocalServer, connection::Connection};
+use crate::{Body, BodyError, LocalServer, connection::Connection, slots::Slot};
 
 /// A body that holds the connection and the slot of its call.
 ///
@@ -20,7 +19,7 @@
 /// connection is closed.
 pub(crate) struct AnswerBody {
     inner: Incoming,
-    held: Option<(Connection, OwnedSemaphorePermit)>,
+    held: Option<(Connection, Slot)>,
     server: Arc<LocalServer>,
 }
 
@@ -29,11 +28,11 @@
         inner: Incoming,
         conn: Connection,
         server: Arc<LocalServer>,
-        permit: OwnedSemaphorePermit,
+        slot: Slot,
     ) -> Self {
         let mut body = Self {
             inner,
-            held: Some((conn, permit)),
+            held: Some((conn, slot)),
             server,
         };
         if body.inner.is_end_stream() {
@@ -48,9 +47,9 @@
 
     /// Makes the connection idle before it frees the slot.
     fn finish(&mut self) {
-        if let Some((conn, permit)) = self.held.take() {
+        if let Some((conn, mut slot)) = self.held.take() {
             self.server.put_idle(conn);
-            drop(permit);
+            slot.finish();
         }
     }
 }
--- a/trefoillock-backend/src/body.rs
+++ b/trefoillock-backend/src/body.rs
@@ -91,3 +91,45 @@
         self.inner.size_hint()
     }
 }
+
+/// A body of a stated length, which has ended once that many bytes were taken.
+pub struct SizedBody {
+    inner: Body,
+    left: Option<u64>,
+}
+
+impl SizedBody {
+    /// Adds the stated length, in bytes, to a body that does not know it.
+    #[must_use]
+    pub const fn new(inner: Body, length: Option<u64>) -> Self {
+        Self {
+            inner,
+            left: length,
+        }
+    }
+}
+
+impl HttpBody for SizedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
+            self.left = self.left.map(|left| left.saturating_sub(bytes));
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == Some(0) || self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left.map_or_else(SizeHint::new, SizeHint::with_exact)
+    }
+}
--- a/trefoillock-backend/src/connection.rs
+++ b/trefoillock-backend/src/connection.rs
@@ -20,7 +20,7 @@
     time::Instant,
 };
 
-use crate::Body;
+use crate::{Body, slots::OpenConnection};
 
 /// A connection on which no answer is outstanding when it is idle.
 ///
@@ -32,11 +32,12 @@
     written: Arc<AtomicU64>,
     task: JoinHandle<()>,
     pub(crate) idle_since: Instant,
+    _open: OpenConnection,
 }
 
 impl Connection {
     /// Opens a connection.
-    pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
+    pub(crate) async fn open(address: SocketAddr, open: OpenConnection) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let written = Arc::new(AtomicU64::new(0));
@@ -53,6 +54,7 @@
             written,
             task,
             idle_since: Instant::now(),
+            _open: open,
         })
     }
 
--- a/trefoillock-backend/src/interface.rs
+++ b/trefoillock-backend/src/interface.rs
@@ -31,7 +31,7 @@
         Self {
             clock,
             state: Mutex::new(Announcements::new(LEASE)),
-            servers: Arc::new(LocalServers::new()),
+            servers: Arc::new(LocalServers::new(clock)),
             list: watch::Sender::new(Vec::new()),
         }
     }
--- a/trefoillock-backend/src/lib.rs
+++ b/trefoillock-backend/src/lib.rs
@@ -21,9 +21,10 @@
 mod local_server;
 mod local_servers;
 mod serve;
+mod slots;
 
 pub use announcements::{AnnounceError, Announcements};
-pub use body::{Body, BodyError, DeadlineBody, box_body, empty_body, text_body};
+pub use body::{Body, BodyError, DeadlineBody, SizedBody, box_body, empty_body, text_body};
 pub use failure::{CallFailure, Crash, Execution, NotSent};
 pub use interface::BackendInterface;
 pub use lease::LEASE;
--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -3,19 +3,26 @@
 use std::{
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
 
 use http::{HeaderMap, Request, Response, StatusCode};
 use tokio::{
-    sync::{OwnedSemaphorePermit, Semaphore},
+    net::TcpStream,
     time::{Instant, timeout, timeout_at},
 };
-use trefoillock_core::{Announcement, MemberState, RefusalReason, headers};
-
-use crate::{Body, CallFailure, Crash, NotSent, answer_body::AnswerBody, connection::Connection};
+use trefoillock_core::{Announcement, MemberState, RefusalReason, RouteClass, headers};
+use trefoillock_platform::Clock;
+use trefoillock_policy::LoadHint;
+
+use crate::{
+    Body, CallFailure, Crash, NotSent,
+    answer_body::AnswerBody,
+    connection::Connection,
+    slots::{Slot, Slots},
+};
 
 /// The longest time that opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -28,6 +35,8 @@
 /// The limits of one call.
 #[derive(Debug, Clone, Copy)]
 pub struct CallLimits {
+    /// The class of the call.
+    pub class: RouteClass,
     /// The time by which the answer must have ended.
     pub deadline: Instant,
     /// The longest time that the call waits for a slot.
@@ -41,26 +50,22 @@
 #[derive(Debug)]
 pub struct LocalServer {
     announcement: Announcement,
-    draining: AtomicBool,
     crashed: AtomicBool,
-    waiting: AtomicU32,
-    slots: Arc<Semaphore>,
+    clock: Clock,
+    slots: Arc<Slots>,
     idle: Mutex<Vec<Connection>>,
 }
 
 impl LocalServer {
     /// Creates a backend server without connections.
     #[must_use]
-    pub fn new(announcement: Announcement) -> Self {
-        let slots = announcement.slots.min(announcement.connections);
-        let slots = usize::try_from(slots)
-            .unwrap_or(usize::MAX)
-            .min(Semaphore::MAX_PERMITS);
+    pub fn new(announcement: Announcement, clock: Clock) -> Self {
+        let slots = Slots::new(clock, announcement.slots, announcement.connections);
+        slots.set_draining(announcement.state == MemberState::Draining);
         Self {
-            draining: AtomicBool::new(announcement.state == MemberState::Draining),
             crashed: AtomicBool::new(false),
-            waiting: AtomicU32::new(0),
-            slots: Arc::new(Semaphore::new(slots)),
+            clock,
+            slots: Arc::new(slots),
             idle: Mutex::new(Vec::new()),
             announcement,
         }
@@ -72,18 +77,10 @@
         &self.announcement
     }
 
-    /// The number of calls that run.
+    /// The present load, as this node sees it.
     #[must_use]
-    pub fn running(&self) -> u32 {
-        let slots = self.announcement.slots.min(self.announcement.connections);
-        let free = u32::try_from(self.slots.available_permits()).unwrap_or(u32::MAX);
-        slots.saturating_sub(free)
-    }
-
-    /// The number of calls that wait for a slot.
-    #[must_use]
-    pub fn waiting(&self) -> u32 {
-        self.waiting.load(Ordering::Relaxed)
+    pub fn hint(&self) -> LoadHint {
+        self.slots.hint()
     }
 
     /// Whether the announcement is of the same run with the same limits.
@@ -95,8 +92,7 @@
 
     /// Takes over the announced state.
     pub(crate) fn set_state(&self, state: MemberState) {
-        self.draining
-            .store(state == MemberState::Draining, Ordering::Release);
+        self.slots.set_draining(state == MemberState::Draining);
     }
 
     /// Whether new work may be sent.
@@ -105,7 +101,7 @@
     ///
     /// Returns the reason why not.
     pub fn check_open(&self) -> Result<(), RefusalReason> {
-        if self.draining.load(Ordering::Acquire) {
+        if self.slots.is_draining() {
             return Err(RefusalReason::Draining);
         }
         if self.crashed.load(Ordering::Acquire) {
@@ -127,26 +123,19 @@
         limits: CallLimits,
     ) -> Result<Response<Body>, CallFailure> {
         self.check_open().map_err(refuse)?;
-        let permit = self.slot(limits).await.map_err(refuse)?;
+        let slot = self.slot(limits).await.map_err(refuse)?;
         self.check_open().map_err(refuse)?;
         let conn = self.connection(limits).await.map_err(refuse)?;
-        self.exchange(conn, req, limits, permit).await
+        self.exchange(conn, req, limits, slot).await
     }
 
     /// Waits for a slot for a bounded time.
-    async fn slot(&self, limits: CallLimits) -> Result<OwnedSemaphorePermit, RefusalReason> {
-        if let Ok(permit) = self.slots.clone().try_acquire_owned() {
-            return Ok(permit);
-        }
-        let until = limits.deadline.min(Instant::now() + limits.queue);
-        self.waiting.fetch_add(1, Ordering::Relaxed);
-        let acquired = timeout_at(until, self.slots.clone().acquire_owned()).await;
-        self.waiting.fetch_sub(1, Ordering::Relaxed);
-        match acquired {
-            Ok(Ok(permit)) => Ok(permit),
-            _ if until == limits.deadline => Err(RefusalReason::Deadline),
-            _ => Err(RefusalReason::Overloaded),
-        }
+    async fn slot(&self, limits: CallLimits) -> Result<Slot, RefusalReason> {
+        let left = limits.deadline.saturating_duration_since(Instant::now());
+        let deadline = self.clock.now() + left;
+        let acquiring = self.slots.acquire(limits.class, deadline, limits.queue);
+        let acquired = timeout_at(limits.deadline, acquiring).await;
+        acquired.unwrap_or(Err(RefusalReason::Deadline))
     }
 
     /// Takes an idle connection or opens a new one.
@@ -157,8 +146,11 @@
                 return Ok(conn);
             }
         }
+        let open = self.slots.open_connection();
+        let open = open.ok_or(RefusalReason::Overloaded)?;
         let until = limits.deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        match timeout_at(until, Connection::open(self.announcement.address)).await {
+        let opening = Connection::open(self.announcement.address, open);
+        match timeout_at(until, opening).await {
             Ok(Ok(conn)) => Ok(conn),
             Err(_) if until == limits.deadline => Err(RefusalReason::Deadline),
             Ok(Err(_)) | Err(_) => Err(RefusalReason::Unreachable),
@@ -187,14 +179,13 @@
         mut conn: Connection,
         req: Request<Body>,
         limits: CallLimits,
-        permit: OwnedSemaphorePermit,
+        slot: Slot,
     ) -> Result<Response<Body>, CallFailure> {
         let before = conn.written();
         let answer = timeout_at(limits.deadline, conn.sender.try_send_request(req)).await;
         let reason = match answer {
             Ok(Ok(resp)) => {
-                let resp =
-                    resp.map(|body| AnswerBody::new(body, conn, self.clone(), permit).boxed());
+                let resp = resp.map(|body| AnswerBody::new(body, conn, self.clone(), slot).boxed());
                 return check_refusal(resp);
             }
             Ok(Err(_)) => RefusalReason::ConnectionLost,
@@ -213,8 +204,8 @@
 
     /// Finds out whether the process still accepts connections after one was lost.
     pub async fn probe(&self) -> Crash {
-        let open = Connection::open(self.announcement.address);
-        match timeout(CONNECT_TIMEOUT, open).await {
+        let opening = TcpStream::connect(self.announcement.address);
+        match timeout(CONNECT_TIMEOUT, opening).await {
             Ok(Err(_)) => {
                 self.crashed.store(true, Ordering::Release);
                 Crash::Yes
--- a/trefoillock-backend/src/local_servers.rs
+++ b/trefoillock-backend/src/local_servers.rs
@@ -9,13 +9,15 @@
     sync::Notify,
     time::{Instant, timeout_at},
 };
-use trefoillock_core::{Announcement, Incarnation, Map};
+use trefoillock_core::{Announcement, Incarnation, Map, MemberState};
+use trefoillock_platform::Clock;
 
 use crate::LocalServer;
 
 /// The backend servers that hold a lease, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LocalServers {
+    clock: Clock,
     servers: Mutex<Map<SocketAddr, Arc<LocalServer>>>,
     changed: Notify,
 }
@@ -23,8 +25,12 @@
 impl LocalServers {
     /// Creates an empty list.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            servers: Mutex::default(),
+            changed: Notify::new(),
+        }
     }
 
     /// The backend server at an address, if it holds a lease.
@@ -46,11 +52,19 @@
                     held.set_state(announcement.state);
                     held.clone()
                 }
-                None => Arc::new(LocalServer::new(announcement.clone())),
+                None => Arc::new(LocalServer::new(announcement.clone(), self.clock)),
             };
             next.insert(announcement.address, server);
         }
-        *servers = next;
+        let gone = std::mem::replace(&mut *servers, next);
+        for (address, server) in &gone {
+            let stays = servers
+                .get(address)
+                .is_some_and(|next| Arc::ptr_eq(next, server));
+            if !stays {
+                server.set_state(MemberState::Draining);
+            }
+        }
         drop(servers);
         self.changed.notify_waiters();
     }
--- a/trefoillock-caller/src/answer.rs
+++ b/trefoillock-caller/src/answer.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
-use trefoillock_backend::{Body, CallFailure, Crash, Execution, NotSent};
+use trefoillock_backend::{Body, CallFailure, Crash, DeadlineBody, Execution, NotSent};
 use trefoillock_core::{Outcome, RefusalReason, headers};
 use trefoillock_node::{NodeContext, Seen, refusal_answer, strip_internal};
 
@@ -22,17 +22,26 @@
     mut resp: Response<Body>,
 ) -> Response<Body> {
     strip_internal(resp.headers_mut());
-    let answered = HeaderValue::from_static(Outcome::Answered.as_str());
-    resp.headers_mut().insert(headers::OUTCOME, answered);
+    tell_answered(&mut resp);
     let server_error = resp.status().is_server_error();
     let (cx, call) = (cx.clone(), call.clone());
-    resp.map(|body| RecordedBody::new(body, cx, call, server_error).boxed_unsync())
+    resp.map(|body| {
+        let body = DeadlineBody::new(body, call.deadline).boxed_unsync();
+        RecordedBody::new(body, cx, call, server_error).boxed_unsync()
+    })
+}
+
+/// Adds the outcome to the head of an answer.
+pub(crate) fn tell_answered(resp: &mut Response<Body>) {
+    let answered = HeaderValue::from_static(Outcome::Answered.as_str());
+    resp.headers_mut().insert(headers::OUTCOME, answered);
 }
 
 /// Tells a failure to the caller, and counts it.
 pub(crate) fn tell(cx: &NodeContext, call: &Call, failure: &CallFailure) -> Response<Body> {
     let seen = match failure.execution() {
         Execution::DidNotRun(_) => Seen::Refused,
+        Execution::Unknown if is_of_key(failure.reason()) => Seen::Refused,
         Execution::Unknown => Seen::Failed {
             crashed: failure.crash() == Crash::Yes,
         },
@@ -41,9 +50,15 @@
     tell_unrouted(failure)
 }
 
+/// Whether a reason speaks of an earlier send with the same key, not of the version.
+const fn is_of_key(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::InProgress | RefusalReason::AlreadyRun | RefusalReason::KeyUnknown
+    )
+}
+
 /// Tells a failure of a call that has no route.
 pub(crate) fn tell_unrouted(failure: &CallFailure) -> Response<Body> {
-    let mut resp = refusal_answer(failure);
-    resp.headers_mut().remove("trefoillock-crashed");
-    resp
+    refusal_answer(failure)
 }
--- a/trefoillock-caller/src/call.rs
+++ b/trefoillock-caller/src/call.rs
@@ -18,6 +18,11 @@
 }
 
 impl Call {
+    /// The time that is left before the deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Counts how the call ended.
     pub(crate) fn record(&self, cx: &NodeContext, seen: Seen) {
         cx.recorder().record(&CallRecord {
--- a/trefoillock-caller/src/entry.rs
+++ b/trefoillock-caller/src/entry.rs
@@ -1,50 +1,81 @@
 //! The entry of a call: from the caller to the destination node.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use http::{Request, Response, header};
 use hyper::body::Incoming;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use trefoillock_backend::{Body, CallFailure, box_body};
-use trefoillock_core::{Fingerprint, Member, RefusalReason, Route, RouteClass};
-use trefoillock_node::{
-    Delivery, HeldConfig, MoveCall, NodeContext, draw, strip_hop_by_hop, strip_internal,
+use trefoillock_core::{
+    Fingerprint, Map, Pool, PoolName, RefusalReason, Route, RouteClass, RouteName,
 };
+use trefoillock_node::{HeldConfig, MoveCall, NodeContext, draw, strip_hop_by_hop, strip_internal};
 
 use crate::{
-    answer::{pass_on, refuse, tell, tell_unrouted},
+    answer::{pass_on, refuse, tell, tell_answered, tell_unrouted},
     call::Call,
-    request::{deadline, host},
+    dispatch::{Dispatch, is_resumed},
+    keyed_posting::{self, KeyedAnswer},
+    pool_state::PoolState,
+    replay::Replay,
+    request::{deadline, fingerprint, host, idempotency_key},
+    resume::resumable,
+    route_state::RouteState,
 };
 
 /// Answers the calls of callers.
 #[derive(Debug)]
 pub struct Entry {
     cx: Arc<NodeContext>,
+    pools: Mutex<Map<PoolName, Arc<PoolState>>>,
+    routes: Mutex<Map<RouteName, Arc<RouteState>>>,
 }
 
 impl Entry {
     /// Creates the entry of a node.
     #[must_use]
-    pub const fn new(cx: Arc<NodeContext>) -> Self {
-        Self { cx }
+    pub fn new(cx: Arc<NodeContext>) -> Self {
+        Self {
+            cx,
+            pools: Mutex::default(),
+            routes: Mutex::default(),
+        }
     }
 
     /// Answers one call.
     pub async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
-        let call = match self.classify(&req) {
-            Ok(call) => Arc::new(call),
+        let mut call = match self.classify(&req) {
+            Ok(call) => call,
             Err(failure) => return tell_unrouted(&failure),
         };
         let mut req = req.map(box_body);
         strip_hop_by_hop(req.headers_mut());
         strip_internal(req.headers_mut());
         keep_host(&mut req);
+        let (parts, body) = req.into_parts();
+        let replay = match timeout_at(call.deadline, Replay::read(parts, body)).await {
+            Ok(Ok(replay)) => replay,
+            Ok(Err(_)) => return tell(&self.cx, &call, &refuse(RefusalReason::BadRequest)),
+            Err(_) => return tell(&self.cx, &call, &refuse(RefusalReason::Deadline)),
+        };
+        let (parts, ()) = replay.head().clone().into_parts();
+        call.fingerprint = fingerprint(&call.route, &parts, replay.body_start());
+        let call = Arc::new(call);
+        if self
+            .cx
+            .view()
+            .refuses(self.cx.clock().now(), call.fingerprint)
+        {
+            return tell(&self.cx, &call, &refuse(RefusalReason::Quarantined));
+        }
         if call.route.class != RouteClass::Posting {
-            return self.run(call, req).await;
+            return self.run(call, replay).await;
         }
         // A posting goes on when its caller leaves.
-        let running = self.cx.tasks().spawn(self.clone().run(call, req));
+        let running = self
+            .cx
+            .tasks()
+            .spawn(self.clone().run_posting(call, replay));
         running.await.unwrap_or_else(|_| {
             let reason = RefusalReason::ConnectionLost;
             tell_unrouted(&CallFailure::may_have_run(reason))
@@ -75,7 +106,7 @@
         &self,
         held: &HeldConfig,
         route: &Route,
-    ) -> Result<(Arc<trefoillock_core::Pool>, Option<MoveCall>), CallFailure> {
+    ) -> Result<(Arc<Pool>, Option<MoveCall>), CallFailure> {
         let config = held.config();
         let share = config.moves().get(&route.name);
         let cut = share.filter(|share| self.cx.recorder().is_cut(share.id));
@@ -96,27 +127,66 @@
         Ok((pool.clone(), in_move))
     }
 
-    /// Sends a call to a backend server and answers it.
-    async fn run(self: Arc<Self>, call: Arc<Call>, req: Request<Body>) -> Response<Body> {
-        let servers = self.cx.view().servers(&call.pool.name);
-        let Some(member) = servers.first() else {
-            return tell(&self.cx, &call, &refuse(RefusalReason::NoServer));
-        };
-        match self.cx.send(member, delivery(&call, member), req).await {
-            Ok(resp) => pass_on(&self.cx, &call, resp),
+    /// Sends a call that may be cancelled, and answers it.
+    async fn run(&self, call: Arc<Call>, mut req: Replay) -> Response<Body> {
+        let mut dispatch = self.dispatch(&call);
+        match dispatch.run(&mut req).await {
+            Ok(resp) => {
+                let resp = if is_resumed(call.route.class) {
+                    resumable(&self.cx, &call, &dispatch.pool, &req, resp)
+                } else {
+                    resp
+                };
+                pass_on(&self.cx, &call, resp)
+            }
             Err(failure) => tell(&self.cx, &call, &failure),
         }
     }
-}
 
-fn delivery(call: &Call, member: &Member) -> Delivery {
-    let pool = &call.pool;
-    Delivery::new(&member.id, pool.service.clone(), pool.version.clone())
-        .request(call.route.class, call.fingerprint)
-        .limits(
-            call.deadline,
-            Duration::from_millis(u64::from(pool.policy.queue_ms)),
-        )
+    /// Sends a posting, and answers it.
+    async fn run_posting(self: Arc<Self>, call: Arc<Call>, mut req: Replay) -> Response<Body> {
+        if idempotency_key(req.head().headers()).is_none() {
+            return self.run(call, req).await;
+        }
+        let mut dispatch = self.dispatch(&call);
+        match keyed_posting::run(&mut dispatch, &mut req).await {
+            KeyedAnswer::Answered(resp) => pass_on(&self.cx, &call, resp),
+            KeyedAnswer::Earlier(mut resp) => {
+                tell_answered(&mut resp);
+                resp
+            }
+            KeyedAnswer::Failed(failure) => tell(&self.cx, &call, &failure),
+        }
+    }
+
+    fn dispatch(&self, call: &Arc<Call>) -> Dispatch {
+        let pool = self.pool(&call.pool);
+        let route = self.route(&call.route.name);
+        Dispatch::new(self.cx.clone(), call.clone(), pool, route)
+    }
+
+    /// The state of a pool, with its present members.
+    fn pool(&self, pool: &Pool) -> Arc<PoolState> {
+        let state = {
+            let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+            let fresh = || Arc::new(PoolState::new(pool, self.cx.data_centre().clone()));
+            match pools.get(&pool.name) {
+                Some(state) => state.clone(),
+                None => pools.entry(pool.name.clone()).or_insert_with(fresh).clone(),
+            }
+        };
+        let members = self.cx.view().servers(&pool.name);
+        state.sync(self.cx.clock().now(), pool, members);
+        state
+    }
+
+    fn route(&self, name: &RouteName) -> Arc<RouteState> {
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        match routes.get(name) {
+            Some(state) => state.clone(),
+            None => routes.entry(name.clone()).or_default().clone(),
+        }
+    }
 }
 
 /// Keeps the host that the caller named, for the backend server.
--- a/trefoillock-caller/src/lib.rs
+++ b/trefoillock-caller/src/lib.rs
@@ -2,14 +2,23 @@
 //!
 //! The package stands above `trefoillock-node`. [`serve`] takes calls on a listening socket,
 //! finds the route of each call, and sends it through [`trefoillock_node::NodeContext::send`] to
-//! a backend server of the route's pool.
+//! a backend server of the route's pool. The decisions are those of `trefoillock-policy`.
 
 mod answer;
 mod call;
+mod dispatch;
 mod entry;
+mod failures;
+mod flight;
+mod keyed_posting;
+mod pool_state;
 mod recorded_body;
+mod replay;
 mod request;
+mod resume;
+mod route_state;
 mod serve;
+mod stored_body;
 
 pub use entry::Entry;
 pub use serve::serve;
--- a/trefoillock-caller/src/recorded_body.rs
+++ b/trefoillock-caller/src/recorded_body.rs
@@ -46,6 +46,9 @@
     }
 
     fn record_end(&mut self) {
+        if !self.recorded && !self.server_error {
+            self.cx.view().saw_answer(self.call.fingerprint);
+        }
         self.record(Seen::Answer {
             latency: self.call.arrived.elapsed(),
             server_error: self.server_error,
--- /dev/null
+++ b/trefoillock-caller/src/route_state.rs
@@ -0,0 +1,36 @@
+//! What an entry node knows of one route.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use trefoillock_core::{RouteClass, Timestamp};
+use trefoillock_policy::Hedge;
+
+/// The hedges of one route.
+#[derive(Debug, Default)]
+pub(crate) struct RouteState {
+    hedge: Mutex<Hedge>,
+}
+
+impl RouteState {
+    /// Counts a call and returns the time after which it may be hedged.
+    pub(crate) fn start(&self, now: Timestamp, class: RouteClass) -> Option<Duration> {
+        self.hedge().start(now, class)
+    }
+
+    /// Counts a call that was answered without a hedge.
+    pub(crate) fn answered(&self, now: Timestamp, latency: Duration) {
+        self.hedge().record(now, latency);
+    }
+
+    /// Takes the cost of one hedge.
+    pub(crate) fn withdraw(&self) -> bool {
+        self.hedge().withdraw()
+    }
+
+    fn hedge(&self) -> MutexGuard<'_, Hedge> {
+        self.hedge.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/trefoillock-caller/src/serve.rs
+++ b/trefoillock-caller/src/serve.rs
@@ -10,10 +10,13 @@
 
 /// Takes calls until `stop` is cancelled and all calls in flight have ended.
 pub async fn serve(listener: TcpListener, cx: Arc<NodeContext>, stop: CancellationToken) {
+    let tasks = cx.tasks().clone();
     let entry = Arc::new(Entry::new(cx));
     let handler = move |req| {
         let entry = entry.clone();
         async move { entry.answer(req).await }
     };
     serve_http(listener, ServerLimits::default(), handler, stop).await;
+    tasks.close();
+    tasks.wait().await;
 }
--- /dev/null
+++ b/trefoillock-caller/src/stored_body.rs
@@ -0,0 +1,95 @@
+//! The answer to a posting, of which a copy is kept if it is short.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use trefoillock_backend::{Body, BodyError};
+use trefoillock_policy::MAX_STORED_BODY_BYTES;
+
+/// A body that passes a copy of itself to a function once it has ended: the whole content if it
+/// is short, else nothing.
+pub(crate) struct StoredBody<F: FnOnce(Option<Vec<u8>>)> {
+    inner: Body,
+    copy: Option<Vec<u8>>,
+    on_end: Option<F>,
+}
+
+impl<F: FnOnce(Option<Vec<u8>>)> StoredBody<F> {
+    pub(crate) fn new(inner: Body, on_end: F) -> Self {
+        let mut body = Self {
+            inner,
+            copy: Some(Vec::new()),
+            on_end: Some(on_end),
+        };
+        if body.inner.is_end_stream() {
+            body.end();
+        }
+        body
+    }
+
+    fn add(&mut self, frame: &Frame<Bytes>) {
+        let Some(data) = frame.data_ref() else {
+            return;
+        };
+        if let Some(copy) = &mut self.copy {
+            copy.extend_from_slice(data);
+            if copy.len() > MAX_STORED_BODY_BYTES {
+                self.copy = None;
+            }
+        }
+    }
+
+    fn end(&mut self) {
+        if let Some(on_end) = self.on_end.take() {
+            on_end(self.copy.take());
+        }
+    }
+}
+
+impl<F: FnOnce(Option<Vec<u8>>) + Unpin> HttpBody for StoredBody<F> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        match &polled {
+            Poll::Pending => {}
+            Poll::Ready(None) => self.end(),
+            Poll::Ready(Some(Ok(frame))) => {
+                self.add(frame);
+                if self.inner.is_end_stream() {
+                    self.end();
+                }
+            }
+            Poll::Ready(Some(Err(_))) => {
+                self.copy = None;
+                self.end();
+            }
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl<F: FnOnce(Option<Vec<u8>>)> Drop for StoredBody<F> {
+    fn drop(&mut self) {
+        if !self.inner.is_end_stream() {
+            self.copy = None;
+        }
+        self.end();
+    }
+}
--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -9,7 +9,7 @@
 use trefoillock_platform::Clock;
 use trefoillock_rpc::Token;
 
-use crate::{Delivery, EvidenceRecorder, NodeView, destination, peer_clients::PeerClients};
+use crate::{Delivery, EvidenceRecorder, Guards, NodeView, destination, peer_clients::PeerClients};
 
 /// The identity of a node, what it holds, and its connections.
 #[derive(Debug)]
@@ -23,6 +23,7 @@
     recorder: Arc<EvidenceRecorder>,
     servers: Arc<LocalServers>,
     peers: PeerClients,
+    guards: Arc<Guards>,
     tasks: TaskTracker,
 }
 
@@ -37,7 +38,9 @@
         clock: Clock,
         servers: Arc<LocalServers>,
     ) -> Self {
+        let guards = Guards::new(node.clone(), incarnation, clock, token.clone());
         Self {
+            guards: Arc::new(guards),
             node,
             incarnation,
             data_centre,
@@ -99,6 +102,12 @@
         &self.servers
     }
 
+    /// The memory of idempotency keys.
+    #[must_use]
+    pub const fn guards(&self) -> &Arc<Guards> {
+        &self.guards
+    }
+
     /// The tasks that go on after the caller has left, such as postings that were sent.
     #[must_use]
     pub const fn tasks(&self) -> &TaskTracker {
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -11,8 +11,8 @@
 use trefoillock_core::{CrashReport, RefusalReason, RouteClass, ServerId};
 
 use crate::{
-    Delivery, NodeContext, detached_body::detach, strip_hop_by_hop, strip_internal,
-    watched_body::WatchedBody,
+    Delivery, NodeContext, detached_body::detach, headers::header_text, strip_hop_by_hop,
+    strip_internal, watched_body::WatchedBody,
 };
 
 /// The time within which a restart of a backend server is taken for the cause of a lost
@@ -41,10 +41,15 @@
     let Ok(result) = running.await else {
         return Err(CallFailure::may_have_run(RefusalReason::ConnectionLost));
     };
-    result.map(|resp| resp.map(|body| detach(body, &tasks)))
+    result.map(|resp| {
+        let length = header_text(resp.headers(), "content-length");
+        let length = length.and_then(|text| text.parse().ok());
+        resp.map(|body| detach(body, length, &tasks))
+    })
 }
 
-/// Finds the backend server that a call is meant for.
+/// Finds the backend server that a call is meant for. One that no longer holds its lease, or
+/// runs another version by now, has left.
 fn find(cx: &NodeContext, delivery: &Delivery) -> Result<Arc<LocalServer>, CallFailure> {
     let server = cx.servers().get(delivery.address);
     let fits = |server: &Arc<LocalServer>| {
@@ -52,7 +57,7 @@
         announced.service == delivery.service && announced.version == delivery.version
     };
     server.filter(fits).ok_or_else(|| {
-        CallFailure::did_not_run(RefusalReason::NoServer, NotSent::nothing_written())
+        CallFailure::did_not_run(RefusalReason::Draining, NotSent::nothing_written())
     })
 }
 
@@ -64,6 +69,7 @@
     req: Request<Body>,
 ) -> Result<Response<Body>, CallFailure> {
     let limits = CallLimits {
+        class: delivery.class,
         deadline: delivery.deadline,
         queue: delivery.queue,
     };
@@ -79,6 +85,7 @@
         Ok(mut resp) => {
             strip_hop_by_hop(resp.headers_mut());
             strip_internal(resp.headers_mut());
+            resp.extensions_mut().insert(server.hint());
             let on_cut = move || watch_crash(cx, server, report);
             Ok(resp.map(|body| {
                 let body = DeadlineBody::new(body, limits.deadline).boxed_unsync();
--- a/trefoillock-node/src/detached_body.rs
+++ b/trefoillock-node/src/detached_body.rs
@@ -10,14 +10,18 @@
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 use tokio_util::task::TaskTracker;
-use trefoillock_backend::{Body, BodyError};
+use trefoillock_backend::{Body, BodyError, SizedBody};
 
 /// The number of frames between the reader and the taker.
 const FRAMES: usize = 2;
 
 /// Reads a body in a task of its own. The returned body streams the frames; once it is dropped,
-/// the rest is read and discarded, so that the exchange ends in order.
-pub(crate) fn detach(mut body: Body, tasks: &TaskTracker) -> Body {
+/// the rest is read and discarded, so that the exchange ends in order. `length` is the stated
+/// length of the body, in bytes.
+pub(crate) fn detach(mut body: Body, length: Option<u64>, tasks: &TaskTracker) -> Body {
+    if body.is_end_stream() {
+        return body;
+    }
     let (tx, rx) = mpsc::channel(FRAMES);
     tasks.spawn(async move {
         while let Some(frame) = body.frame().await {
@@ -33,7 +37,8 @@
         let _ = tx.send(Ok(Frame::data(Bytes::new()))).await;
         drop(tx);
     });
-    DetachedBody { rx, ended: false }.boxed_unsync()
+    let body = DetachedBody { rx, ended: false }.boxed_unsync();
+    SizedBody::new(body, length).boxed_unsync()
 }
 
 fn is_empty_data(frame: &Frame<Bytes>) -> bool {
--- /dev/null
+++ b/trefoillock-node/src/guards.rs
@@ -0,0 +1,305 @@
+//! The memory of idempotency keys: the shell around [`GuardKeeper`] and [`Claim`].
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use trefoillock_core::{
+    Config, ConfigVersion, Fingerprint, Guard, GuardSet, GuardSlot, Incarnation, Map, NodeId,
+    Timestamp,
+};
+use trefoillock_platform::Clock;
+use trefoillock_policy::{
+    Claim, ClaimAnswer, ClaimId, ClaimLoss, ClaimRequest, ClaimState, CopyAnswer, CopyRequest,
+    Finish, FinishRequest, GuardAck, GuardKeeper, KeyHash,
+};
+use trefoillock_rpc::{RpcServer, Token, Traffic};
+
+use crate::{
+    NodeView,
+    guard_client::{CLAIM, COPY, FINISH, GuardClients},
+};
+
+/// The number of keepers among which the slots of a node are divided.
+const SHARDS: u16 = 8;
+/// The time between two looks for a newer guard table and for records that are to be copied.
+const SYNC_INTERVAL: Duration = Duration::from_millis(50);
+/// The pause before guards are asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(20);
+/// The attempts after which a guard counts as unreachable.
+const MAX_ATTEMPTS: u32 = 3;
+/// The attempts to tell a guard how a call ended.
+const FINISH_ATTEMPTS: u32 = 5;
+
+/// The longest time that the guards of a lost claim are told of it.
+const LOSS_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// A key as a caller sent it with a request.
+#[derive(Debug, Clone, Copy)]
+pub struct KeyClaim {
+    /// The hash of the key and its scope.
+    pub key: KeyHash,
+    /// The request that came with the key.
+    pub fingerprint: Fingerprint,
+    /// The time that is embedded in the key.
+    pub key_time: Option<Timestamp>,
+    /// The time by which the call has ended.
+    pub running_until: Timestamp,
+}
+
+/// A key that was granted to a call.
+#[derive(Debug)]
+pub struct HeldKey {
+    claim: Claim,
+    slot: GuardSlot,
+}
+
+/// The guard of this node, and its claims at the guards of all nodes.
+#[derive(Debug)]
+pub struct Guards {
+    node: NodeId,
+    incarnation: Incarnation,
+    clock: Clock,
+    token: Token,
+    traffic: Arc<Traffic>,
+    keepers: Vec<Mutex<GuardKeeper>>,
+    clients: GuardClients,
+    process: u64,
+    next: AtomicU64,
+}
+
+impl Guards {
+    /// Creates a guard with empty memory for one run of a node.
+    #[must_use]
+    pub fn new(node: NodeId, incarnation: Incarnation, clock: Clock, token: Token) -> Self {
+        let traffic = Arc::new(Traffic::new());
+        let keeper = |shard| {
+            Mutex::new(GuardKeeper::new(node.clone(), incarnation).for_shard(shard, SHARDS))
+        };
+        Self {
+            keepers: (0..SHARDS).map(keeper).collect(),
+            node,
+            incarnation,
+            clock,
+            clients: GuardClients::new(token.clone(), traffic.clone()),
+            token,
+            traffic,
+            process: rand::random(),
+            next: AtomicU64::new(0),
+        }
+    }
+
+    /// The slots in which this node is an active guard; to be sent to the leader.
+    #[must_use]
+    pub fn acks(&self) -> Vec<GuardAck> {
+        let keepers = self.keepers.iter();
+        keepers.flat_map(|keeper| lock(keeper).acks()).collect()
+    }
+
+    /// The number of keys that this node remembers.
+    #[must_use]
+    pub fn keys(&self) -> usize {
+        self.keepers.iter().map(|keeper| lock(keeper).len()).sum()
+    }
+
+    /// The bytes of messages between guards.
+    #[must_use]
+    pub const fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
+    }
+
+    /// The handlers of the messages of other nodes.
+    pub(crate) fn rpc_server(self: &Arc<Self>) -> RpcServer {
+        let (claims, finishes, copies) = (self.clone(), self.clone(), self.clone());
+        RpcServer::new(self.token.clone(), self.traffic.clone())
+            .unary(CLAIM, move |req: ClaimRequest| {
+                let answer = claims.answer_claim(&req);
+                async move { Ok(answer) }
+            })
+            .unary(FINISH, move |req: FinishRequest| {
+                finishes.take_finish(&req);
+                async move { Ok(()) }
+            })
+            .unary(COPY, move |req: CopyRequest| {
+                let answer = copies.answer_copy(&req);
+                async move { Ok(answer) }
+            })
+    }
+
+    /// Follows the guard table of the configuration until `stop` is cancelled.
+    pub(crate) async fn follow(&self, view: &NodeView, stop: CancellationToken) {
+        let mut synced = ConfigVersion::ZERO;
+        loop {
+            if let Some(config) = view.config().filter(|config| config.version() > synced) {
+                self.sync(&config);
+                synced = config.version();
+            }
+            self.copy_records().await;
+            let pause = stop.run_until_cancelled(sleep(SYNC_INTERVAL));
+            if pause.await.is_none() {
+                return;
+            }
+        }
+    }
+
+    fn sync(&self, config: &Config) {
+        for keeper in &self.keepers {
+            lock(keeper).sync(config.guards());
+        }
+    }
+
+    /// Copies the records of slots of which this node has become a guard.
+    async fn copy_records(&self) {
+        let requests: Vec<_> = self
+            .keepers
+            .iter()
+            .flat_map(|keeper| lock(keeper).copy_requests())
+            .collect();
+        let copies = requests.into_iter().map(|(guard, req)| async move {
+            let answer = if self.is_self(&guard) {
+                self.answer_copy(&req)
+            } else {
+                self.clients.copy(&guard, req).await.ok().flatten()
+            };
+            if let Some(answer) = answer {
+                lock(self.keeper(req.slot)).copied(&guard, answer);
+            }
+        });
+        join_all(copies).await;
+    }
+
+    /// Claims a key. The call may run only if the claim is won.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the claim was lost. Nothing of it remains at the guards.
+    pub async fn win(&self, view: &NodeView, wanted: KeyClaim) -> Result<HeldKey, ClaimLoss> {
+        let slot = wanted.key.slot();
+        let Some(set) = guard_set(view, slot) else {
+            return Err(ClaimLoss::Unknown);
+        };
+        let sequence = self.next.fetch_add(1, Ordering::Relaxed);
+        let mut claim = Claim::new(
+            self.clock.now(),
+            ClaimId::new(self.process, sequence),
+            wanted.key,
+            wanted.fingerprint,
+            wanted.key_time,
+            wanted.running_until,
+            &set,
+        );
+        let mut failures: Map<NodeId, u32> = Map::default();
+        loop {
+            match claim.expire(self.clock.now()).clone() {
+                ClaimState::Won => return Ok(HeldKey { claim, slot }),
+                ClaimState::Lost(loss) => {
+                    let given_up = HeldKey { claim, slot };
+                    let telling = self.finish(view, &given_up, &Finish::Released);
+                    let _ = timeout(LOSS_TIMEOUT, telling).await;
+                    return Err(loss);
+                }
+                ClaimState::Stale { .. } => {
+                    if let Some(set) = guard_set(view, slot) {
+                        claim.restart(&set);
+                    }
+                }
+                ClaimState::Asking => self.ask(&mut claim, &mut failures).await,
+            }
+            if matches!(claim.state(), ClaimState::Asking | ClaimState::Stale { .. }) {
+                sleep(ASK_AGAIN).await;
+            }
+        }
+    }
+
+    /// Asks all guards that have not voted, until the claim is decided or all have answered.
+    async fn ask(&self, claim: &mut Claim, failures: &mut Map<NodeId, u32>) {
+        let requests = claim.requests().into_iter();
+        let mut asking: FuturesUnordered<_> = requests
+            .map(|(guard, req)| async move {
+                let answer = self.ask_guard(&guard, req).await;
+                (guard, answer)
+            })
+            .collect();
+        while let Some((guard, answer)) = asking.next().await {
+            let now = self.clock.now();
+            if let Some(answer) = answer {
+                claim.answer(now, &guard, answer);
+            } else {
+                let failed = failures.entry(guard.node.clone()).or_default();
+                *failed += 1;
+                if *failed >= MAX_ATTEMPTS {
+                    claim.unreachable(&guard);
+                }
+            }
+            if claim.state() != &ClaimState::Asking {
+                return;
+            }
+        }
+    }
+
+    async fn ask_guard(&self, guard: &Guard, req: ClaimRequest) -> Option<ClaimAnswer> {
+        if self.is_self(guard) {
+            return Some(self.answer_claim(&req));
+        }
+        self.clients.claim(guard, req).await.ok()
+    }
+
+    /// Tells all guards how the call of a claim ended.
+    pub async fn finish(&self, view: &NodeView, held: &HeldKey, finish: &Finish) {
+        let newest = guard_set(view, held.slot);
+        let messages = held.claim.finish(newest.as_ref(), finish).into_iter();
+        join_all(messages.map(|(guard, req)| self.tell(guard, req))).await;
+    }
+
+    async fn tell(&self, guard: Guard, req: FinishRequest) {
+        if self.is_self(&guard) {
+            self.take_finish(&req);
+            return;
+        }
+        for _ in 0..FINISH_ATTEMPTS {
+            if self.clients.finish(&guard, req.clone()).await.is_ok() {
+                return;
+            }
+            sleep(ASK_AGAIN).await;
+        }
+    }
+
+    fn answer_claim(&self, req: &ClaimRequest) -> ClaimAnswer {
+        let now = self.clock.now();
+        lock(self.keeper(req.key.slot())).claim(now, req)
+    }
+
+    fn take_finish(&self, req: &FinishRequest) {
+        let now = self.clock.now();
+        lock(self.keeper(req.key.slot())).finish(now, req);
+    }
+
+    fn answer_copy(&self, req: &CopyRequest) -> Option<CopyAnswer> {
+        let now = self.clock.now();
+        lock(self.keeper(req.slot)).copy(now, req)
+    }
+
+    fn is_self(&self, guard: &Guard) -> bool {
+        guard.node == self.node && guard.incarnation == self.incarnation
+    }
+
+    fn keeper(&self, slot: GuardSlot) -> &Mutex<GuardKeeper> {
+        &self.keepers[usize::from(slot.get() % SHARDS)]
+    }
+}
+
+fn guard_set(view: &NodeView, slot: GuardSlot) -> Option<GuardSet> {
+    let config = view.config()?;
+    config.guards().get(&slot).cloned()
+}
+
+fn lock(keeper: &Mutex<GuardKeeper>) -> MutexGuard<'_, GuardKeeper> {
+    keeper.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/trefoillock-node/src/headers.rs
+++ b/trefoillock-node/src/headers.rs
@@ -18,6 +18,9 @@
 /// Set on a failure if the process of the backend server is gone, between nodes.
 pub(crate) const CRASHED: &str = "trefoillock-crashed";
 
+/// The load of the backend server, on answers between nodes.
+pub(crate) const LOAD: &str = "trefoillock-load";
+
 /// Headers that belong to one connection.
 const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -32,7 +35,7 @@
 ];
 
 /// Headers that only the system itself may set.
-const INTERNAL: [&str; 12] = [
+const INTERNAL: [&str; 14] = [
     headers::OUTCOME,
     headers::REASON,
     headers::DEADLINE_MS,
@@ -45,6 +48,8 @@
     CLASS,
     FINGERPRINT,
     QUEUE_MS,
+    CRASHED,
+    LOAD,
 ];
 
 /// Removes the headers that belong to one connection, and those that `connection` names.
@@ -66,7 +71,6 @@
     for name in INTERNAL {
         map.remove(name);
     }
-    map.remove(CRASHED);
 }
 
 /// The text of a header.
--- a/trefoillock-node/src/peer_clients.rs
+++ b/trefoillock-node/src/peer_clients.rs
@@ -18,7 +18,7 @@
 use trefoillock_core::{Map, RefusalReason, headers};
 use trefoillock_rpc::Token;
 
-use crate::{Delivery, read_refusal, strip_hop_by_hop, strip_internal};
+use crate::{Delivery, load_header::read_load, read_refusal, strip_hop_by_hop, strip_internal};
 
 /// The longest time that opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -183,6 +183,9 @@
         return Err(CallFailure::may_have_run(RefusalReason::ConnectionLost));
     }
     let mut resp = resp.map(box_body);
+    if let Some(hint) = read_load(resp.headers()) {
+        resp.extensions_mut().insert(hint);
+    }
     strip_internal(resp.headers_mut());
     Ok(resp)
 }
--- a/trefoillock-node/src/serve_peer.rs
+++ b/trefoillock-node/src/serve_peer.rs
@@ -3,16 +3,22 @@
 use std::sync::Arc;
 
 use http::{HeaderValue, Request, Response, header};
-use hyper::body::Incoming;
+use hyper::{body::Incoming, service::Service};
+use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use trefoillock_backend::{Body, CallFailure, NotSent, box_body};
 use trefoillock_core::{Outcome, RefusalReason, headers};
+use trefoillock_policy::LoadHint;
+use trefoillock_rpc::RpcServer;
 
 use crate::{
-    Delivery, NodeContext, ServerLimits, destination::deliver, refusal_answer, serve_http,
+    Delivery, NodeContext, ServerLimits, destination::deliver, headers::SERVER,
+    load_header::write_load, refusal_answer, serve_http,
 };
 
+/// The beginning of the paths of messages between guards.
+const GUARD_PREFIX: &str = "/guard/";
 /// The number of concurrent calls on one connection.
 const STREAMS: u32 = 4_096;
 
@@ -24,10 +30,39 @@
         ..ServerLimits::default()
     };
     let tasks = cx.tasks().clone();
-    let handler = move |req| answer(cx.clone(), req);
+    let guards = cx.guards().clone();
+    let rpc = TowerToHyperService::new(guards.rpc_server());
+    let stop_guard = CancellationToken::new();
+    let following = {
+        let (view, stop) = (cx.view().clone(), stop_guard.clone());
+        tokio::spawn(async move { guards.follow(&view, stop).await })
+    };
+    let handler = move |req: Request<Incoming>| {
+        let (cx, rpc) = (cx.clone(), rpc.clone());
+        async move {
+            if is_guard_message(&req) {
+                return answer_rpc(rpc, req).await;
+            }
+            answer(cx, req).await
+        }
+    };
     serve_http(listener, limits, handler, stop).await;
     tasks.close();
     tasks.wait().await;
+    stop_guard.cancel();
+    let _ = following.await;
+}
+
+/// Whether a request is a message between guards. Calls for backend servers, which may have any
+/// path, name their backend server.
+fn is_guard_message(req: &Request<Incoming>) -> bool {
+    !req.headers().contains_key(SERVER) && req.uri().path().starts_with(GUARD_PREFIX)
+}
+
+/// Answers a message to the guard of this node.
+async fn answer_rpc(rpc: TowerToHyperService<RpcServer>, req: Request<Incoming>) -> Response<Body> {
+    let answer = rpc.call(req.map(tonic::body::Body::new)).await;
+    answer.map_or_else(|never| match never {}, |resp| resp.map(box_body))
 }
 
 async fn answer(cx: Arc<NodeContext>, req: Request<Incoming>) -> Response<Body> {
@@ -45,6 +80,9 @@
         Ok(mut resp) => {
             let answered = HeaderValue::from_static(Outcome::Answered.as_str());
             resp.headers_mut().insert(headers::OUTCOME, answered);
+            if let Some(hint) = resp.extensions_mut().remove::<LoadHint>() {
+                write_load(resp.headers_mut(), &hint);
+            }
             resp
         }
         Err(failure) => refusal_answer(&failure),
--- a/trefoillock-node/src/view.rs
+++ b/trefoillock-node/src/view.rs
@@ -1,9 +1,12 @@
 //! What a node holds of the system: its configuration and the list of members.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use trefoillock_core::{Config, Map, Member, Members, PoolName};
+use trefoillock_core::{
+    Config, CrashReport, Fingerprint, Map, Member, Members, PoolName, Timestamp,
+};
+use trefoillock_policy::Quarantine;
 
 use crate::RouteIndex;
 
@@ -38,6 +41,7 @@
     config: ArcSwapOption<HeldConfig>,
     members: ArcSwap<Members>,
     placements: ArcSwap<Placements>,
+    quarantine: Mutex<Quarantine>,
     writing: Mutex<()>,
 }
 
@@ -74,10 +78,33 @@
             let placements = place(&held.config, &members);
             self.placements.store(Arc::new(placements));
         }
+        self.quarantine().sync(&members.quarantined);
         self.members.store(members);
         true
     }
 
+    /// Whether a request is refused because it crashed backend servers.
+    #[must_use]
+    pub fn refuses(&self, now: Timestamp, fingerprint: Fingerprint) -> bool {
+        self.quarantine().refuses(now, fingerprint)
+    }
+
+    /// Counts a crash that this node saw.
+    pub fn saw_crash(&self, now: Timestamp, report: &CrashReport) {
+        self.quarantine().crashed(now, report);
+    }
+
+    /// Clears a request of this node's suspicion, because it was answered in full.
+    pub fn saw_answer(&self, fingerprint: Fingerprint) {
+        self.quarantine().answered(fingerprint);
+    }
+
+    fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The configuration, once there is one.
     #[must_use]
     pub fn config(&self) -> Option<Arc<Config>> {
