--- /dev/null
+++ b/trefoillockd/src/leadership.rs
@@ -0,0 +1,123 @@
+//! Whether this replica leads, confirmed by a quorum.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use tokio::sync::watch;
+use trefoillock_control::{SourceRole, SourceState};
+use trefoillock_core::{Config, Term};
+use trefoillock_platform::Event;
+use trefoillock_replica::{ReplicaHandle, ReplicaStatus, RoleKind};
+
+use crate::{daemon::Cx, shared_store::SharedStore};
+
+/// The time between two confirmations.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
+/// The longest time that a confirmation may take.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Whether this replica leads.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Leadership {
+    /// The term in which the replica leads, if it does.
+    pub(crate) term: Option<Term>,
+}
+
+/// Tells the distribution and the moves whether this replica leads.
+pub(crate) struct Publisher {
+    cx: Cx,
+    replica: ReplicaHandle,
+    store: SharedStore,
+}
+
+impl Publisher {
+    pub(crate) const fn new(cx: Cx, replica: ReplicaHandle, store: SharedStore) -> Self {
+        Self { cx, replica, store }
+    }
+
+    /// Runs until the process finishes.
+    pub(crate) async fn run(
+        self,
+        state: watch::Sender<SourceState>,
+        leadership: watch::Sender<Leadership>,
+    ) {
+        let mut status = self.replica.status();
+        let mut config = self.store.config();
+        let mut tick = tokio::time::interval(CONFIRM_INTERVAL);
+        loop {
+            tokio::select! {
+                () = self.cx.finish.cancelled() => return,
+                _ = tick.tick() => {}
+                Ok(()) = status.changed() => {}
+                Ok(()) = config.changed() => {}
+                else => return,
+            }
+            let now = status.borrow_and_update().clone();
+            let held = config.borrow_and_update().clone();
+            let confirmed = now.role == RoleKind::Leader && self.confirm().await;
+            self.publish(&now, confirmed, &held, &state, &leadership);
+        }
+    }
+
+    /// Asks a quorum whether this replica still leads. The barrier also waits until every
+    /// entry that was committed before is applied.
+    async fn confirm(&self) -> bool {
+        let barrier = tokio::time::timeout(CONFIRM_TIMEOUT, self.replica.read_barrier());
+        matches!(barrier.await, Ok(Ok(_)))
+    }
+
+    fn publish(
+        &self,
+        status: &ReplicaStatus,
+        confirmed: bool,
+        config: &Arc<Config>,
+        state: &watch::Sender<SourceState>,
+        leadership: &watch::Sender<Leadership>,
+    ) {
+        let term = confirmed.then_some(status.term);
+        let leader = status.leader_address().map(|(_, address)| address);
+        let role = match term {
+            Some(term) => SourceRole::Leading { term },
+            None if status.role == RoleKind::Leader => SourceRole::Following { leader: None },
+            None => SourceRole::Following { leader },
+        };
+        state.send_if_modified(|held| {
+            let is_new = held.role != role || !Arc::ptr_eq(&held.config, config);
+            if is_new {
+                *held = SourceState {
+                    role,
+                    config: config.clone(),
+                };
+            }
+            is_new
+        });
+        let before = leadership.borrow().term;
+        leadership
+            .send_if_modified(|held| std::mem::replace(held, Leadership { term }).term != term);
+        self.report(before, term);
+        let metrics = &self.cx.metrics;
+        metrics.term.set(status.term.get());
+        metrics.is_leader.set(u64::from(term.is_some()));
+        metrics.config_version.set(config.version().get());
+        self.cx
+            .health
+            .control_waits
+            .store(leader.is_none() && term.is_none(), Ordering::Relaxed);
+    }
+
+    fn report(&self, before: Option<Term>, now: Option<Term>) {
+        if before == now {
+            return;
+        }
+        if let Some(term) = before {
+            self.cx.events.write(Event::LeaderLost, &[("term", &term)]);
+        }
+        if let Some(term) = now {
+            self.cx
+                .events
+                .write(Event::LeaderElected, &[("term", &term)]);
+        }
+    }
+}
--- a/trefoillockd/src/main.rs
+++ b/trefoillockd/src/main.rs
@@ -1,2 +1,129 @@
-//! Placeholder.
-fn main() {}
+//! The daemon of trefoillock.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use pico_args::Arguments;
+use tokio_util::sync::CancellationToken;
+use trefoillock_core::Error;
+use trefoillock_platform::{Settings, cancel_on_signal, start_logging};
+use trefoillockd::{Daemon, bootstrap, check_data_folder, join};
+
+/// The exit code for malformed arguments or settings.
+const EXIT_SETTINGS: u8 = 2;
+/// The exit code for a failure while running.
+const EXIT_FAILED: u8 = 1;
+
+const HELP: &str = "\
+trefoillockd - the daemon of trefoillock
+
+USAGE: trefoillockd [OPTIONS] SETTINGS.json
+
+OPTIONS:
+  --check       check the settings and the data folder and stop
+  --bootstrap   make the empty data folder that of a first voter of a new system and stop
+  --join        make the empty data folder that of a replica that waits to be added and stop
+  --help, --version
+
+SIGTERM and SIGINT stop the daemon gracefully; SIGHUP is ignored.
+
+EXIT CODES: 0 stopped gracefully, 1 failed, 2 malformed arguments or settings
+";
+
+enum Mode {
+    Run,
+    Check,
+    Bootstrap,
+    Join,
+}
+
+fn main() -> ExitCode {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    if args.contains(["-V", "--version"]) {
+        println!("trefoillockd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let mode = match (
+        args.contains("--check"),
+        args.contains("--bootstrap"),
+        args.contains("--join"),
+    ) {
+        (true, _, _) => Mode::Check,
+        (_, true, _) => Mode::Bootstrap,
+        (_, _, true) => Mode::Join,
+        _ => Mode::Run,
+    };
+    let file: Result<PathBuf, _> = args.free_from_str();
+    let rest = args.finish();
+    match file {
+        Ok(file) if rest.is_empty() => run(&mode, &file),
+        Ok(_) => malformed(&format!("unexpected arguments {rest:?}; see --help")),
+        Err(error) => malformed(&format!("{error}; see --help")),
+    }
+}
+
+fn malformed(message: &str) -> ExitCode {
+    eprintln!("trefoillockd: {message}");
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+fn run(mode: &Mode, file: &std::path::Path) -> ExitCode {
+    let settings = match Settings::load(file) {
+        Ok(settings) => settings,
+        Err(error) => return malformed(&error.to_string()),
+    };
+    let prepared = match mode {
+        Mode::Bootstrap => return ended(bootstrap(&settings)),
+        Mode::Join => return ended(join(&settings)),
+        Mode::Check | Mode::Run => check_data_folder(&settings),
+    };
+    if let Err(error) = prepared {
+        return malformed(&format!("{}: {error}", file.display()));
+    }
+    match mode {
+        Mode::Check => {
+            println!("{}: the settings are valid", file.display());
+            ExitCode::SUCCESS
+        }
+        _ => serve(settings),
+    }
+}
+
+fn ended(result: Result<(), Error>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => malformed(&error.to_string()),
+    }
+}
+
+fn serve(settings: Settings) -> ExitCode {
+    if let Err(error) = start_logging(settings.log.level) {
+        return malformed(&error.to_string());
+    }
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("trefoillockd: the runtime cannot be started: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    let result = runtime.block_on(async {
+        let stop = CancellationToken::new();
+        cancel_on_signal(stop.clone())?;
+        let daemon = Daemon::start(settings, stop).await?;
+        daemon.stopped().await
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("trefoillockd: {error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
--- /dev/null
+++ b/trefoillockd/src/operator_service.rs
@@ -0,0 +1,259 @@
+//! What this control replica does for operators.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use futures::{FutureExt, future::BoxFuture};
+use tokio::sync::watch;
+use trefoillock_control::FleetStatus;
+use trefoillock_core::{Edit, EditAnswer, Members, Move, MoveId, RawTables, Tables, Timestamp};
+use trefoillock_operator::{
+    ApiError, ApiErrorKind, BurnReport, CancelReport, CheckReport, EditReport, MemberRow,
+    MembersReport, MovesReport, OperatorService, ReplicaChange, ReplicaRow, StatusReport,
+    TablesReport, VersionCount,
+};
+use trefoillock_platform::Event;
+use trefoillock_policy::BurnMeter;
+use trefoillock_replica::{ChangeError, MemberRole, ProposeError, ReplicaHandle};
+use trefoillock_store::{Command, CommandAnswer};
+
+use crate::{daemon::Cx, shared_store::SharedStore};
+
+/// The service behind the operators' interface.
+pub(crate) struct OperatorApi {
+    pub(crate) cx: Cx,
+    pub(crate) replica: ReplicaHandle,
+    pub(crate) store: SharedStore,
+    pub(crate) members: watch::Receiver<Arc<Members>>,
+    pub(crate) fleet: watch::Receiver<FleetStatus>,
+    pub(crate) burn: Arc<Mutex<BurnMeter>>,
+}
+
+type Reply<'a, T> = BoxFuture<'a, Result<T, ApiError>>;
+
+impl OperatorApi {
+    /// Waits until the state is as new as at the time of the request, or refuses it.
+    async fn current(&self) -> Result<(), ApiError> {
+        match self.replica.read_barrier().await {
+            Ok(_) => Ok(()),
+            Err(error) => Err(ApiError::new(ApiErrorKind::NotLeader, error.to_string())),
+        }
+    }
+
+    async fn propose(&self, command: Command) -> Result<CommandAnswer, ApiError> {
+        let internal = |message: String| ApiError::new(ApiErrorKind::Internal, message);
+        let command = command
+            .encode()
+            .map_err(|error| internal(error.to_string()))?;
+        let (_, answer) = self
+            .replica
+            .propose(command)
+            .await
+            .map_err(|e| propose_error(&e))?;
+        CommandAnswer::decode(&answer).map_err(|error| internal(error.to_string()))
+    }
+
+    fn status_now(&self) -> StatusReport {
+        let replica = self.replica.status().borrow().clone();
+        let fleet = self.fleet.borrow().clone();
+        let store = self.store.lock();
+        let rows = replica
+            .members
+            .members()
+            .iter()
+            .map(|(id, member)| ReplicaRow {
+                id: *id,
+                address: member.address,
+                voter: member.role == MemberRole::Voter,
+                leader: replica.leader == Some(*id),
+            });
+        let versions = fleet
+            .versions
+            .nodes
+            .iter()
+            .map(|(version, nodes)| VersionCount {
+                version: *version,
+                nodes: *nodes as usize,
+            });
+        StatusReport {
+            term: replica.term,
+            version: store.config().version(),
+            tables_version: store.config().tables_version(),
+            nodes: fleet.nodes as usize,
+            versions: versions.collect(),
+            lagging: fleet.lagging.iter().map(|(_, node)| node.clone()).collect(),
+            replicas: rows.collect(),
+            running_moves: store.running_moves().count(),
+        }
+    }
+
+    fn report_edit(&self, id: &trefoillock_core::EditId, answer: &EditAnswer) {
+        match answer {
+            EditAnswer::Accepted { version, moves } => {
+                let moves = moves.len();
+                let fields: [(&str, &dyn std::fmt::Display); 3] =
+                    [("id", id), ("version", version), ("moves", &moves)];
+                self.cx.events.write(Event::EditAccepted, &fields);
+                self.cx.metrics.edits_accepted.inc();
+            }
+            EditAnswer::Refused(refusal) => {
+                self.cx
+                    .events
+                    .write(Event::EditRefused, &[("id", id), ("reason", refusal)]);
+                self.cx.metrics.edits_refused.inc();
+            }
+        }
+    }
+
+    async fn change(&self, change: ReplicaChange) -> Result<(), ChangeError> {
+        match change {
+            ReplicaChange::Add { id, address } => self.replica.add_learner(id, address).await,
+            ReplicaChange::Promote { id } => self.replica.promote(id).await,
+            ReplicaChange::Remove { id } => self.replica.remove(id).await,
+        }
+    }
+}
+
+fn propose_error(error: &ProposeError) -> ApiError {
+    let kind = match error {
+        ProposeError::NotLeader { .. } | ProposeError::DidNotCommit | ProposeError::Busy => {
+            ApiErrorKind::NotLeader
+        }
+        ProposeError::TooLarge => ApiErrorKind::BadRequest,
+        ProposeError::Unknown => ApiErrorKind::Unknown,
+    };
+    ApiError::new(kind, error.to_string())
+}
+
+fn change_error(error: &ChangeError) -> ApiError {
+    let kind = match error {
+        ChangeError::NotLeader => ApiErrorKind::NotLeader,
+        _ => ApiErrorKind::BadRequest,
+    };
+    ApiError::new(kind, error.to_string())
+}
+
+fn unexpected(answer: &CommandAnswer) -> ApiError {
+    ApiError::new(
+        ApiErrorKind::Internal,
+        format!("unexpected answer {answer:?}"),
+    )
+}
+
+impl OperatorService for OperatorApi {
+    fn now(&self) -> Timestamp {
+        self.cx.clock.now()
+    }
+
+    fn status(&self) -> Reply<'_, StatusReport> {
+        async {
+            self.current().await?;
+            Ok(self.status_now())
+        }
+        .boxed()
+    }
+
+    fn tables(&self) -> Reply<'_, TablesReport> {
+        async {
+            self.current().await?;
+            let config = self.store.lock().config().clone();
+            Ok(TablesReport {
+                version: config.version(),
+                tables_version: config.tables_version(),
+                tables: RawTables::from(config.tables()),
+            })
+        }
+        .boxed()
+    }
+
+    fn check(&self, tables: Tables) -> Reply<'_, CheckReport> {
+        async move {
+            self.current().await?;
+            let config = self.store.lock().config().clone();
+            Ok(CheckReport {
+                errors: None,
+                difference: Some(config.tables().diff(&tables)),
+                tables_version: config.tables_version(),
+            })
+        }
+        .boxed()
+    }
+
+    fn edit(&self, edit: Edit) -> Reply<'_, EditReport> {
+        async move {
+            let id = edit.id.clone();
+            match self.propose(Command::Edit(edit)).await? {
+                CommandAnswer::Edit(answer) => {
+                    self.report_edit(&id, &answer);
+                    Ok(EditReport { answer })
+                }
+                other => Err(unexpected(&other)),
+            }
+        }
+        .boxed()
+    }
+
+    fn moves(&self) -> Reply<'_, MovesReport> {
+        async {
+            self.current().await?;
+            let store = self.store.lock();
+            let mut moves: Vec<Move> = store.running_moves().cloned().collect();
+            let mut ended: Vec<Move> = store.ended_moves().cloned().collect();
+            ended.reverse();
+            moves.append(&mut ended);
+            Ok(MovesReport { moves })
+        }
+        .boxed()
+    }
+
+    fn cancel(&self, id: MoveId) -> Reply<'_, CancelReport> {
+        async move {
+            let at = self.now();
+            match self.propose(Command::CancelMove { id, at }).await? {
+                CommandAnswer::Cancel(answer) => Ok(CancelReport { answer }),
+                other => Err(unexpected(&other)),
+            }
+        }
+        .boxed()
+    }
+
+    fn members(&self) -> Reply<'_, MembersReport> {
+        async {
+            self.current().await?;
+            let members = self.members.borrow().clone();
+            let rows = members.servers.values().map(|member| MemberRow {
+                id: member.id.clone(),
+                data_centre: member.data_centre.clone(),
+                service: member.announcement.service.clone(),
+                version: member.announcement.version.clone(),
+                state: member.announcement.state,
+            });
+            Ok(MembersReport {
+                members: rows.collect(),
+            })
+        }
+        .boxed()
+    }
+
+    fn burn(&self) -> Reply<'_, BurnReport> {
+        async {
+            self.current().await?;
+            let burn = self.burn.lock().unwrap_or_else(PoisonError::into_inner);
+            Ok(burn.report(self.now()))
+        }
+        .boxed()
+    }
+
+    fn change_replicas(&self, change: ReplicaChange) -> Reply<'_, StatusReport> {
+        async move {
+            let text = format!("{change:?}");
+            self.change(change)
+                .await
+                .map_err(|error| change_error(&error))?;
+            self.cx
+                .events
+                .write(Event::ReplicaChanged, &[("change", &text)]);
+            Ok(self.status_now())
+        }
+        .boxed()
+    }
+}
