--- a/trefoillock-control/src/ack_summary.rs
+++ b/trefoillock-control/src/ack_summary.rs
@@ -18,14 +18,19 @@
 pub struct AckSummary {
     /// The number of nodes by the version that they serve; zero means none yet.
     pub nodes: BTreeMap<ConfigVersion, u32>,
-    /// The nodes with the lowest versions, at most eight.
+    /// The nodes that lag behind the relay above them, at most eight with the lowest versions.
     pub slowest: Vec<(ConfigVersion, NodeId)>,
 }
 
 impl AckSummary {
     /// Counts one node.
-    pub fn add(&mut self, node: &NodeId, version: ConfigVersion) {
+    pub fn add(&mut self, version: ConfigVersion) {
         *self.nodes.entry(version).or_default() += 1;
+        self.trim();
+    }
+
+    /// Names a node that lags.
+    pub fn name(&mut self, node: &NodeId, version: ConfigVersion) {
         self.slowest.push((version, node.clone()));
         self.trim();
     }
--- a/trefoillock-control/src/child.rs
+++ b/trefoillock-control/src/child.rs
@@ -5,10 +5,13 @@
 use trefoillock_core::{NodeId, Timestamp};
 
 use crate::{
-    AckSummary, Held, Hello, LostNode, NodeRecord, Repair, Report, SubtreeChange, SubtreeDigest,
-    rounds::Rounds,
+    AckSummary, ChildState, Held, Hello, LostNode, NodeRecord, Repair, Report, Route,
+    SubtreeChange, SubtreeDigest, rounds::Rounds,
 };
 
+/// The number of beats after which the route is sent although it did not change.
+const ROUTE_INTERVAL: u32 = 16;
+
 /// What a parent knows of one child and of the nodes below it.
 #[derive(Debug)]
 pub struct Child {
@@ -18,12 +21,13 @@
     last_heard: Timestamp,
     next_sequence: u64,
     wants_hello: bool,
-    held: Held,
+    state: ChildState,
+    route: Option<Route>,
+    beats: u32,
     sent: Held,
     sent_at: Timestamp,
     repair: Repair,
     is_urgent: bool,
-    acks: AckSummary,
     evidence_taken: u64,
     rounds: Rounds,
 }
@@ -39,12 +43,13 @@
             last_heard: now,
             next_sequence: 0,
             wants_hello: false,
-            held: Held::default(),
+            state: ChildState::default(),
+            route: None,
+            beats: 0,
             sent: Held::default(),
             sent_at: Timestamp::EPOCH,
             repair: Repair::None,
             is_urgent: false,
-            acks: AckSummary::default(),
             evidence_taken: 0,
             rounds: Rounds::default(),
         }
@@ -91,7 +96,7 @@
             self.apply(change);
         }
         self.note(now, report);
-        self.wants_hello |= SubtreeDigest::of(self.subtree.values()) != report.below;
+        self.wants_hello |= SubtreeDigest::of(self.subtree.values()) != self.state.below;
         Some(changes)
     }
 
@@ -142,10 +147,11 @@
     fn note(&mut self, now: Timestamp, report: &Report) {
         self.last_heard = now;
         self.next_sequence = report.sequence + 1;
-        self.held = report.held;
         self.repair = report.repair;
         self.is_urgent = report.is_urgent;
-        self.acks.clone_from(&report.acks);
+        if let Some(state) = &report.state {
+            self.state.clone_from(state);
+        }
     }
 
     /// Notes that evidence arrived and returns whether it is new.
@@ -204,7 +210,7 @@
     /// What the child holds.
     #[must_use]
     pub const fn held(&self) -> Held {
-        self.held
+        self.state.held
     }
 
     /// What was last sent to the child, and when.
@@ -234,7 +240,19 @@
     /// The versions that are served below.
     #[must_use]
     pub const fn acks(&self) -> &AckSummary {
-        &self.acks
+        &self.state.acks
+    }
+
+    /// The route to send with a beat, if it is due.
+    pub fn route_update(&mut self, route: Route) -> Option<Route> {
+        self.beats += 1;
+        let is_due = self.beats >= ROUTE_INTERVAL || self.route.as_ref() != Some(&route);
+        if !is_due {
+            return None;
+        }
+        self.beats = 0;
+        self.route = Some(route.clone());
+        Some(route)
     }
 
     /// The last batch of evidence that was taken.
--- a/trefoillock-control/src/distributor.rs
+++ b/trefoillock-control/src/distributor.rs
@@ -1,12 +1,12 @@
 //! The parent's side of the tree, for the leader and for relays alike.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use trefoillock_core::{Config, Map, Members, MembersVersion, NodeId, Timestamp, data};
 
 use crate::{
     AckSummary, Beat, ConfigMark, ConfigUpdate, DownMessage, EvidenceBatch, Floor, Held, Hello,
-    History, MembersUpdate, NodeRecord, Payload, Repair, Report, SubtreeChange, Update,
+    History, MembersUpdate, NodeRecord, Payload, Repair, Report, Route, SubtreeChange, Update,
     child::Child,
     timing::{RESEND_INTERVAL, SILENCE_TIMEOUT},
 };
@@ -23,15 +23,6 @@
     }
 }
 
-/// The way from a child to the leader.
-#[derive(Debug, Clone, Default)]
-pub struct Route {
-    /// The relays above the child, from the top down.
-    pub path: Vec<NodeId>,
-    /// Other relays that can serve as parent.
-    pub alternates: Vec<SocketAddr>,
-}
-
 /// What came of a message of a child.
 #[derive(Debug, Default)]
 pub struct Taken {
@@ -176,15 +167,14 @@
 
     /// The answer to a report of a child.
     #[must_use]
-    pub fn beat(&self, key: ChildKey, floor: Floor, route: &Route) -> Option<Beat> {
-        let child = self.children.get(&key)?;
+    pub fn beat(&mut self, key: ChildKey, floor: Floor, route: Route) -> Option<Beat> {
+        let child = self.children.get_mut(&key)?;
         Some(Beat {
             confirmed_round: child.rounds().confirmed(),
             floor,
             evidence_taken: child.evidence_taken(),
             wants_hello: child.wants_hello(),
-            path: route.path.clone(),
-            alternates: route.alternates.clone(),
+            route: child.route_update(route),
         })
     }
 
@@ -246,9 +236,16 @@
     /// The versions that are served below, summed.
     #[must_use]
     pub fn acks(&self) -> AckSummary {
+        let newest = self.config_history.newest().version;
         let mut sum = AckSummary::default();
         for child in self.children.values() {
             sum.merge(child.acks());
+            if let Some((lowest, _)) = child.acks().nodes.first_key_value()
+                && *lowest < newest
+                && child.acks().slowest.is_empty()
+            {
+                sum.name(&child.record().node, *lowest);
+            }
         }
         sum
     }
--- a/trefoillock-control/src/lib.rs
+++ b/trefoillock-control/src/lib.rs
@@ -45,8 +45,9 @@
 pub use members_delta::MembersDelta;
 pub use members_holder::MembersHolder;
 pub use message::{
-    Beat, DownMessage, Floor, Held, Hello, LostNode, NodeRecord, ParentAddress, ParentKind,
-    RecordOrder, Repair, Report, SubtreeChange, SubtreeDigest, UpMessage, Update,
+    Beat, ChildState, DownMessage, Floor, Held, Hello, LostNode, NodeRecord, ParentAddress,
+    ParentKind, RecordOrder, Repair, Report, Route, SubtreeChange, SubtreeDigest, UpMessage,
+    Update,
 };
 pub use node_machine::{NodeEffect, NodeIdentity, NodeMachine};
 pub use payload::{ConfigUpdate, MembersUpdate, Payload};
--- a/trefoillock-control/src/member_table.rs
+++ b/trefoillock-control/src/member_table.rs
@@ -182,6 +182,13 @@
         entries.map(|entry| &entry.record)
     }
 
+    /// The number of backend servers that were announced.
+    #[must_use]
+    pub fn servers_heard(&self) -> usize {
+        let nodes = self.nodes.values();
+        nodes.map(|entry| entry.record.announcements.len()).sum()
+    }
+
     /// The number of nodes that are known.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/trefoillock-control/src/message.rs
+++ b/trefoillock-control/src/message.rs
@@ -132,8 +132,10 @@
 
 /// What a child needs after an update that did not fit.
 #[data(key)]
+#[derive(Default)]
 pub enum Repair {
     /// Nothing.
+    #[default]
     None,
     /// The updates that start at what it holds.
     Resend,
@@ -156,31 +158,51 @@
     pub report: Report,
 }
 
-/// What a child reports at every interval.
+/// What a child holds and what the nodes below it serve.
+#[data]
+#[derive(Default)]
+pub struct ChildState {
+    /// What the child holds.
+    pub held: Held,
+    /// The number of backend servers in the list of members that the child holds.
+    pub servers_known: u32,
+    /// The versions that the child and the nodes below it serve.
+    pub acks: AckSummary,
+    /// What the child knows of the nodes below it.
+    pub below: SubtreeDigest,
+}
+
+/// What a child reports at every interval. The names on the wire are short, since this is
+/// nearly all that is sent while nothing changes.
 #[data]
 pub struct Report {
     /// The number of the message within the attachment.
+    #[serde(rename = "s")]
     pub sequence: u64,
     /// The number of the question for the leader's versions.
+    #[serde(rename = "r")]
     pub round: u64,
     /// Whether the child or a node below it serves nothing until that question is answered.
+    #[serde(rename = "u", default, skip_serializing_if = "is_default")]
     pub is_urgent: bool,
-    /// What the child holds.
-    pub held: Held,
     /// What the child needs after an update that did not fit.
+    #[serde(rename = "n", default, skip_serializing_if = "is_default")]
     pub repair: Repair,
-    /// The number of nodes in the list of members that the child holds.
-    pub nodes_known: u32,
-    /// The versions that the child and the nodes below it serve.
-    pub acks: AckSummary,
-    /// What the child knows of the nodes below it, once the changes are applied.
-    pub below: SubtreeDigest,
+    /// The child's state after the changes, if it differs from the one reported before.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub state: Option<ChildState>,
     /// Changes below the child since the report before.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<SubtreeChange>,
     /// Evidence of the child and the nodes below it.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub evidence: Option<EvidenceBatch>,
 }
 
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// A message from a child to its parent.
 #[data]
 pub enum UpMessage {
@@ -195,26 +217,41 @@
 #[derive(Default)]
 pub struct Floor {
     /// The configuration.
+    #[serde(rename = "c")]
     pub config: ConfigVersion,
     /// The list of members.
+    #[serde(rename = "m")]
     pub members: MembersVersion,
 }
 
+/// The way from a child to the leader.
+#[data]
+#[derive(Default)]
+pub struct Route {
+    /// The relays above the child, from the top down.
+    pub path: Vec<NodeId>,
+    /// Other relays that can serve as parent when this one is lost and the leader is out.
+    pub alternates: Vec<SocketAddr>,
+}
+
 /// A parent's answer to a report.
 #[data]
 pub struct Beat {
     /// The highest question of the child that a live leader answered.
+    #[serde(rename = "r")]
     pub confirmed_round: u64,
     /// The answer.
+    #[serde(rename = "f")]
     pub floor: Floor,
     /// The last batch of evidence that was taken.
+    #[serde(rename = "e", default, skip_serializing_if = "is_default")]
     pub evidence_taken: u64,
     /// Whether a report of the child was lost, so that it must send its state as a whole.
+    #[serde(rename = "w", default, skip_serializing_if = "is_default")]
     pub wants_hello: bool,
-    /// The relays above the child, from the top down.
-    pub path: Vec<NodeId>,
-    /// Other nodes that can serve as parent when this one is lost and the leader is out.
-    pub alternates: Vec<SocketAddr>,
+    /// The way to the leader, if it changed or was not sent for a while.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub route: Option<Route>,
 }
 
 /// New versions.
--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -9,11 +9,11 @@
 };
 
 use crate::{
-    AckSummary, Admission, Beat, ChildKey, ConfigHolder, ConfigUpdate, Distributor, DownMessage,
-    EvidenceOutbox, Floor, Held, Hello, LinkAction, LinkId, MembersHolder, MembersUpdate,
-    NodeRecord, ParentAddress, Payload, Repair, Report, SubtreeChange, SubtreeDigest, UpMessage,
-    Update, Uplink,
-    distributor::{Route, Taken, retry_after},
+    AckSummary, Admission, Beat, ChildKey, ChildState, ConfigHolder, ConfigUpdate, Distributor,
+    DownMessage, EvidenceOutbox, Floor, Held, Hello, LinkAction, LinkId, MembersHolder,
+    MembersUpdate, NodeRecord, ParentAddress, Payload, Repair, Report, Route, SubtreeChange,
+    SubtreeDigest, UpMessage, Update, Uplink,
+    distributor::{Taken, retry_after},
     timing::{MAX_CHILDREN, MIN_REPORT_INTERVAL, REPORT_INTERVAL},
 };
 
@@ -75,6 +75,7 @@
     confirmed_round: u64,
     sequence: u64,
     repair: Repair,
+    reported: Option<ChildState>,
     changes: Vec<SubtreeChange>,
     is_prompt: bool,
     last_report: Timestamp,
@@ -111,6 +112,7 @@
             confirmed_round: 0,
             sequence: 0,
             repair: Repair::None,
+            reported: None,
             changes: Vec::new(),
             is_prompt: false,
             last_report: Timestamp::EPOCH,
@@ -195,6 +197,9 @@
             self.changes.clear();
         }
         let report = self.next_report(is_probe);
+        if !is_probe {
+            self.reported.clone_from(&report.state);
+        }
         Hello {
             record: self.record.clone(),
             is_probe,
@@ -210,24 +215,27 @@
             self.sequence += 1;
             self.round += 1;
         }
-        let known = self.members.held().servers.len();
         Report {
             sequence,
             round: self.round,
             is_urgent: self.is_urgent(),
-            held: Held {
-                config: self.config.mark(),
-                members: self.members.version(),
-            },
             repair: self.repair,
-            nodes_known: u32::try_from(known).unwrap_or(u32::MAX),
-            acks: self.acks(),
-            below: SubtreeDigest::of(self.distributor.records()),
+            state: Some(self.state()),
             changes: Vec::new(),
             evidence: None,
         }
     }
 
+    fn state(&self) -> ChildState {
+        let known = self.members.held().servers.len();
+        ChildState {
+            held: self.held(),
+            servers_known: u32::try_from(known).unwrap_or(u32::MAX),
+            acks: self.acks(),
+            below: SubtreeDigest::of(self.distributor.records()),
+        }
+    }
+
     /// Whether this node or one below it serves nothing yet.
     fn is_urgent(&self) -> bool {
         self.config.serving().is_none() || self.distributor.is_urgent()
@@ -236,7 +244,7 @@
     /// The versions that this node and those below it serve.
     fn acks(&self) -> AckSummary {
         let mut acks = self.distributor.acks();
-        acks.add(&self.record.node, self.config.serving_version());
+        acks.add(self.config.serving_version());
         acks
     }
 
@@ -251,6 +259,11 @@
             self.last_report = now;
             self.is_prompt = false;
             let mut report = self.next_report(false);
+            if report.state == self.reported {
+                report.state = None;
+            } else {
+                self.reported.clone_from(&report.state);
+            }
             report.changes = std::mem::take(&mut self.changes);
             report.evidence = self.outbox.batch(now);
             let report = UpMessage::Report(Box::new(report));
@@ -287,23 +300,25 @@
     }
 
     fn on_beat(&mut self, now: Timestamp, link: LinkId, beat: &Beat) {
-        let is_loop = beat.path.contains(&self.record.node) || beat.path.len() > MAX_DEPTH;
-        if is_loop {
-            self.path.clear();
-            self.uplink.on_loop(now, link, &mut self.rng);
-            return;
+        if let Some(route) = &beat.route {
+            let path = &route.path;
+            if path.contains(&self.record.node) || path.len() > MAX_DEPTH {
+                self.path.clear();
+                self.uplink.on_loop(now, link, &mut self.rng);
+                return;
+            }
+            self.path.clone_from(path);
+            self.alternates = route
+                .alternates
+                .iter()
+                .copied()
+                .take(MAX_ALTERNATES)
+                .collect();
+            self.uplink.set_alternates(&self.alternates);
         }
-        self.path.clone_from(&beat.path);
         let is_confirmed = beat.confirmed_round > self.confirmed_round;
         self.uplink.on_heard(now, link, is_confirmed);
         self.outbox.confirm(beat.evidence_taken);
-        self.alternates = beat
-            .alternates
-            .iter()
-            .copied()
-            .take(MAX_ALTERNATES)
-            .collect();
-        self.uplink.set_alternates(&self.alternates);
         if is_confirmed {
             self.confirmed_round = beat.confirmed_round;
             self.floor.config = self.floor.config.max(beat.floor.config);
@@ -458,7 +473,7 @@
         route.path.push(self.record.node.clone());
         route.alternates.extend(&self.alternates);
         route.alternates.truncate(MAX_ALTERNATES);
-        if let Some(beat) = self.distributor.beat(key, self.floor, &route) {
+        if let Some(beat) = self.distributor.beat(key, self.floor, route) {
             let beat = DownMessage::Beat(Box::new(beat));
             self.effects.push(NodeEffect::SendDown(key, beat));
         }
--- a/trefoillock-control/src/source_machine.rs
+++ b/trefoillock-control/src/source_machine.rs
@@ -14,9 +14,9 @@
 
 use crate::{
     Admission, ChildKey, ConfigMark, Distributor, DownMessage, FleetStatus, Floor, Hello,
-    MemberTable, MembersDelta, MembersUpdate, ParentAddress, Payload, Placement, SubtreeChange,
-    TreePlan, UpMessage,
-    distributor::{Route, Taken, retry_after},
+    MemberTable, MembersDelta, MembersUpdate, ParentAddress, Payload, Placement, Report, Route,
+    SubtreeChange, TreePlan, UpMessage,
+    distributor::{Taken, retry_after},
     timing::{LEADER_GRACE, LEADER_GRACE_LIMIT, MEMBERS_WINDOW},
 };
 
@@ -28,7 +28,7 @@
 const MAX_SEEN_CRASHES: usize = 4_096;
 /// The time after which the list of members is built again without a change of the fleet.
 const MEMBERS_REFRESH: Duration = Duration::from_secs(1);
-/// The share of the known nodes, in percent, that a new leader waits for.
+/// The share of the known backend servers, in percent, that a new leader waits for.
 const HEARD_PERCENT: u64 = 90;
 
 /// Whether a control replica leads.
@@ -81,7 +81,7 @@
     published: bool,
     leading_since: Timestamp,
     last_publish: Timestamp,
-    nodes_known: u32,
+    servers_known: u32,
     is_dirty: bool,
     quarantined: BTreeMap<Fingerprint, Timestamp>,
     relays: Vec<(DataCentre, SocketAddr)>,
@@ -107,7 +107,7 @@
             published: false,
             leading_since: Timestamp::EPOCH,
             last_publish: Timestamp::EPOCH,
-            nodes_known: 0,
+            servers_known: 0,
             is_dirty: false,
             quarantined: BTreeMap::new(),
             relays: Vec::new(),
@@ -154,7 +154,7 @@
         self.version = MembersVersion::new(term, 0).max(self.version);
         self.published = false;
         self.leading_since = now;
-        self.nodes_known = 0;
+        self.servers_known = 0;
         self.is_dirty = true;
         self.evidence = Evidence::default();
         self.crashes.clear();
@@ -176,12 +176,12 @@
         match message {
             UpMessage::Hello(hello) if self.distributor.contains(key) => {
                 let (taken, _) = self.distributor.hello(now, key, hello, 0);
-                self.take(now, key, hello.report.nodes_known, taken);
+                self.take(now, key, &hello.report, taken);
             }
             UpMessage::Hello(hello) => self.on_hello(now, key, hello),
             UpMessage::Report(report) if self.distributor.contains(key) => {
                 let taken = self.distributor.report(now, key, report, 0);
-                self.take(now, key, report.nodes_known, taken);
+                self.take(now, key, report, taken);
             }
             UpMessage::Report(_) => self.effects.push(SourceEffect::Close(key)),
         }
@@ -206,7 +206,7 @@
         if self.distributor.contains(key) {
             self.effects
                 .push(SourceEffect::Send(key, DownMessage::Welcome));
-            self.take(now, key, hello.report.nodes_known, taken);
+            self.take(now, key, &hello.report, taken);
         }
     }
 
@@ -248,8 +248,9 @@
         self.effects.push(SourceEffect::Close(key));
     }
 
-    fn take(&mut self, now: Timestamp, key: ChildKey, nodes_known: u32, taken: Taken) {
-        self.nodes_known = self.nodes_known.max(nodes_known);
+    fn take(&mut self, now: Timestamp, key: ChildKey, report: &Report, taken: Taken) {
+        let known = report.state.as_ref().map(|state| state.servers_known);
+        self.servers_known = self.servers_known.max(known.unwrap_or_default());
         self.apply(now, taken.changes);
         if let Some(batch) = taken.evidence {
             self.evidence.merge(&batch.evidence);
@@ -287,7 +288,7 @@
             path: Vec::new(),
             alternates: self.alternates(key),
         };
-        if let Some(beat) = self.distributor.beat(key, floor, &route) {
+        if let Some(beat) = self.distributor.beat(key, floor, route) {
             let beat = DownMessage::Beat(Box::new(beat));
             self.effects.push(SourceEffect::Send(key, beat));
         }
@@ -348,8 +349,8 @@
             return true;
         }
         let leading = now.since(self.leading_since);
-        let heard = self.table.len() as u64 * 100;
-        let is_heard = heard >= u64::from(self.nodes_known) * HEARD_PERCENT;
+        let heard = self.table.servers_heard() as u64 * 100;
+        let is_heard = heard >= u64::from(self.servers_known) * HEARD_PERCENT;
         leading >= LEADER_GRACE_LIMIT || (leading >= LEADER_GRACE && is_heard)
     }
 
@@ -436,6 +437,18 @@
         )
     }
 
+    /// Whether every known node serves the newest version.
+    #[must_use]
+    pub fn is_in_force(&self) -> bool {
+        let newest = self
+            .config
+            .as_ref()
+            .map(|config| config.version())
+            .unwrap_or_default();
+        self.distributor.acks().at_least(newest) as usize == self.table.len()
+            && self.status().is_in_force()
+    }
+
     /// Takes the evidence that arrived since the last call.
     pub fn take_evidence(&mut self) -> Evidence {
         std::mem::take(&mut self.evidence)
--- a/trefoillock-control/src/timing.rs
+++ b/trefoillock-control/src/timing.rs
@@ -29,8 +29,8 @@
 /// The time between two searches for another parent while the present one still answers.
 pub const PROBE_INTERVAL: Duration = Duration::from_secs(3);
 /// The number of children that the leader gives to a relay.
-pub const FAN_OUT: usize = 16;
+pub const FAN_OUT: usize = 12;
 /// The number of children that a relay takes at most.
 pub const MAX_CHILDREN: usize = 48;
 /// The number of nodes of each data centre that attach to the leader itself.
-pub const ROOTS_PER_DATA_CENTRE: usize = 2;
+pub const ROOTS_PER_DATA_CENTRE: usize = 3;
--- a/trefoillock-control/src/tree_plan.rs
+++ b/trefoillock-control/src/tree_plan.rs
@@ -14,7 +14,7 @@
 /// The number of nodes below a node from which on it is a relay worth keeping at the top.
 const LARGE_SUBTREE: usize = 8;
 /// The number of relays with many nodes below that a data centre may have at the top.
-const MAX_ROOTS: usize = 4;
+const MAX_ROOTS: usize = 5;
 /// The largest number of relays above a node.
 const MAX_DEPTH: usize = 8;
 
--- /dev/null
+++ b/trefoillock-stand-ins/examples/control/virtual_fleet.rs
@@ -0,0 +1,354 @@
+//! A fleet on the in-memory network.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use trefoillock_control::{ConfigUpdate, MembersUpdate, NodeMachine, Payload};
+use trefoillock_core::{
+    Config, Evidence, LatencySketch, MemberState, MoveEvidence, MoveId, PoolEvidence,
+};
+use trefoillock_stand_ins::fleet::{Fleet, FleetSize, NaivePush, Process, ProcessLoad, sample};
+
+use crate::{
+    figures::{Load, Times, VirtualFigures, Way},
+    process::{Stopwatch, resident_bytes},
+};
+
+const SEED: u64 = 7;
+const CONTROLS: usize = 3;
+const DATA_CENTRES: usize = 5;
+const SERVICES: usize = 190;
+/// The number of changes whose convergence is measured.
+const CHANGES: u64 = 5;
+/// The time over which ordinary work is measured.
+const WORK_TIME: Duration = Duration::from_secs(10);
+/// Backend servers that start to drain in a second of ordinary work.
+const CHURN_PER_SECOND: u64 = 2;
+/// Moves for which each node has evidence in a second of ordinary work.
+const MOVES_PER_NODE: u64 = 2;
+/// The longest time that anything is waited for.
+const LIMIT: Duration = Duration::from_mins(1);
+
+struct Run {
+    fleet: Fleet,
+    nodes: usize,
+    toggled: usize,
+    version: u64,
+    config: Arc<Config>,
+}
+
+pub(crate) fn measure(nodes: usize) -> VirtualFigures {
+    let watch = Stopwatch::start();
+    let mut run = Run::new(nodes);
+    let mut figures = VirtualFigures {
+        nodes,
+        ..VirtualFigures::default()
+    };
+    run.cold_start(&mut figures);
+    run.changes(&mut figures);
+    run.ordinary_work(&mut figures);
+    run.drain(&mut figures);
+    run.silent_loss(&mut figures);
+    run.new_leader(&mut figures);
+    run.herd(&mut figures);
+    run.naive(&mut figures);
+    figures.elapsed_s = watch.elapsed().as_secs_f64();
+    figures
+}
+
+impl Run {
+    fn new(nodes: usize) -> Self {
+        let size = FleetSize {
+            controls: CONTROLS,
+            nodes,
+            data_centres: DATA_CENTRES.min(nodes),
+            services: SERVICES,
+        };
+        let config = sample::config(1, SERVICES, sample::guards(nodes));
+        Self {
+            fleet: Fleet::new(size, &config, SEED, true),
+            nodes,
+            toggled: 0,
+            version: 1,
+            config,
+        }
+    }
+
+    /// Waits until something holds for every running node and returns the time for each.
+    fn times(&mut self, wanted: impl Fn(&NodeMachine) -> bool) -> Vec<Duration> {
+        let start = self.fleet.now();
+        let mut waiting: Vec<usize> = self.fleet.running().map(|(at, _)| at).collect();
+        let mut times = Vec::with_capacity(waiting.len());
+        self.fleet.run_until(start + LIMIT, |fleet| {
+            waiting.retain(|at| {
+                let is_there = fleet.node(*at).is_none_or(&wanted);
+                if is_there {
+                    times.push(fleet.now().since(start));
+                }
+                !is_there
+            });
+            waiting.is_empty()
+        });
+        times.extend(waiting.iter().map(|_| LIMIT));
+        times
+    }
+
+    fn serves_newest(&self) -> impl Fn(&NodeMachine) -> bool + use<> {
+        let version = self.config.version();
+        move |node| {
+            node.config()
+                .is_some_and(|config| config.version() >= version)
+        }
+    }
+
+    fn change(&mut self) {
+        self.version += 1;
+        let guards = self.config.guards().clone();
+        self.config = sample::config(self.version, SERVICES, guards);
+        let state = trefoillock_control::SourceRole::Leading {
+            term: trefoillock_core::Term::new(1),
+        };
+        self.fleet.set_state(0, state, &self.config);
+    }
+
+    fn cold_start(&mut self, figures: &mut VirtualFigures) {
+        let before = resident_bytes();
+        for at in 0..self.nodes {
+            self.fleet.start(at);
+        }
+        figures.cold_start = Times::of(self.times(self.serves_newest()));
+        let nodes = self.nodes;
+        self.times(|node| node.members().is_some_and(|m| m.servers.len() == nodes));
+        self.fleet.run_for(Duration::from_secs(3));
+        let grown = resident_bytes().saturating_sub(before);
+        figures.memory_per_node_bytes = grown / nodes as u64;
+        let leader = self.fleet.control(0);
+        figures.roots = leader.children();
+        let children = self.fleet.running().map(|(_, node)| node.children());
+        figures.most_children = children.max().unwrap_or_default();
+        let members = MembersUpdate::Snapshot(leader.members().as_ref().clone());
+        let members = Payload::encode(&members);
+        figures.members_snapshot_bytes = members.len();
+        let config = ConfigUpdate::Snapshot(self.config.as_ref().clone());
+        let config = Payload::encode(&config);
+        figures.config_snapshot_bytes = config.len();
+        let watch = Stopwatch::start();
+        let decoded = config.decode::<ConfigUpdate>();
+        if let Some(ConfigUpdate::Snapshot(config)) = &decoded {
+            assert_eq!(config.check(), Ok(()));
+        }
+        let decoded_members = members.decode::<MembersUpdate>();
+        figures.snapshot_busy_ms = watch.elapsed().as_secs_f64() * 1_000.0;
+        assert!(decoded.is_some() && decoded_members.is_some());
+    }
+
+    fn changes(&mut self, figures: &mut VirtualFigures) {
+        let mut times = Vec::new();
+        let mut source_bytes = 0;
+        for _ in 0..CHANGES {
+            let before = self.config.clone();
+            self.fleet.reset_loads();
+            let start = self.fleet.now();
+            self.change();
+            times.extend(self.times(self.serves_newest()));
+            source_bytes += self.fleet.load(Process::Control(0)).sent;
+            let delta = ConfigUpdate::Delta(before.delta_to(&self.config));
+            figures.config_delta_bytes = Payload::encode(&delta).len();
+            let limit = self.fleet.now() + LIMIT;
+            self.fleet
+                .run_until(limit, |fleet| fleet.control(0).is_in_force());
+            let known = self.fleet.now().since(start).as_secs_f64() * 1_000.0;
+            figures.known_in_force_ms = figures.known_in_force_ms.max(known);
+            self.fleet.run_for(Duration::from_secs(1));
+        }
+        figures.ours.change = Times::of(times);
+        figures.ours.source_bytes_per_change = source_bytes as f64 / CHANGES as f64;
+    }
+
+    fn ordinary_work(&mut self, figures: &mut VirtualFigures) {
+        self.fleet.reset_loads();
+        for _ in 0..WORK_TIME.as_secs() {
+            for _ in 0..CHURN_PER_SECOND {
+                self.toggle_drain();
+            }
+            for at in 0..self.nodes {
+                let evidence = evidence(at as u64);
+                self.fleet
+                    .with_node(at, |node| node.add_evidence(&evidence, Vec::new()));
+            }
+            self.fleet.run_for(Duration::from_secs(1));
+        }
+        let loads: Vec<ProcessLoad> = (0..self.nodes)
+            .map(|at| self.fleet.load(Process::Node(at)))
+            .collect();
+        let busiest = loads.iter().max_by_key(|load| load.sent + load.received);
+        figures.ours.busiest_node = load(busiest.copied().unwrap_or_default(), 1);
+        let sum = loads.iter().fold(ProcessLoad::default(), |mut sum, load| {
+            sum.sent += load.sent;
+            sum.received += load.received;
+            sum.messages += load.messages;
+            sum.busy += load.busy;
+            sum
+        });
+        figures.ours.mean_node = load(sum, self.nodes);
+        figures.ours.source = load(self.fleet.load(Process::Control(0)), 1);
+    }
+
+    fn toggle_drain(&mut self) {
+        // Only odd nodes: the others restart later, and a server that flaps is held back.
+        self.toggled += 1;
+        let at = (2 * self.toggled + 1) % self.nodes;
+        let mut announcement = sample::announcement(at, 1, SERVICES);
+        announcement.state = MemberState::Draining;
+        self.fleet
+            .with_node(at, |node| node.set_announcements(&[announcement]));
+    }
+
+    fn drain(&mut self, figures: &mut VirtualFigures) {
+        let mut times = Vec::new();
+        for draw in 0..5 {
+            let at = self.nodes * (2 * draw + 1) / 10;
+            let mut announcement = sample::announcement(at, 1, SERVICES);
+            announcement.state = MemberState::Draining;
+            self.fleet
+                .with_node(at, |node| node.set_announcements(&[announcement]));
+            let id = sample::server_id(at);
+            times.extend(self.times(|node| {
+                let members = node.members();
+                members.is_some_and(|m| m.servers.get(&id).is_none_or(|member| !member.is_up()))
+            }));
+        }
+        figures.drain = Times::of(times);
+    }
+
+    fn silent_loss(&mut self, figures: &mut VirtualFigures) {
+        let mut times = Vec::new();
+        for draw in 0..5 {
+            let leaf = self
+                .fleet
+                .running()
+                .filter(|(_, node)| node.children() == 0);
+            let leaf = leaf.map(|(at, _)| at).nth(draw * self.nodes / 10);
+            let Some(at) = leaf else {
+                continue;
+            };
+            self.fleet.kill(at, true);
+            let id = sample::server_id(at);
+            times.extend(self.times(|node| {
+                let members = node.members();
+                members.is_some_and(|m| !m.servers.contains_key(&id))
+            }));
+            self.fleet.start(at);
+            self.fleet.run_for(Duration::from_secs(3));
+        }
+        figures.silent_loss = Times::of(times);
+    }
+
+    fn new_leader(&mut self, figures: &mut VirtualFigures) {
+        let start = self.fleet.now();
+        self.fleet.set_leader(Some(1), 2, &self.config);
+        let term = trefoillock_core::Term::new(2);
+        self.times(|node| node.members().is_some_and(|m| m.version.term == term));
+        figures.new_leader_list_ms = self.fleet.now().since(start).as_secs_f64() * 1_000.0;
+        self.fleet.set_leader(Some(0), 3, &self.config);
+        self.fleet.run_for(Duration::from_secs(6));
+    }
+
+    fn herd(&mut self, figures: &mut VirtualFigures) {
+        for at in (0..self.nodes).step_by(2) {
+            self.fleet.kill(at, false);
+        }
+        self.fleet.run_for(Duration::from_secs(2));
+        self.fleet.reset_loads();
+        for at in (0..self.nodes).step_by(2) {
+            self.fleet.start(at);
+        }
+        let newest = self.serves_newest();
+        let nodes = self.nodes;
+        let is_back = move |node: &NodeMachine| {
+            let is_whole = node.members().is_some_and(|m| m.servers.len() == nodes);
+            newest(node) && is_whole
+        };
+        figures.ours.herd_return = Times::of(self.times(is_back));
+        let sent = (0..self.nodes).map(|at| self.fleet.load(Process::Node(at)).sent);
+        figures.herd_busiest_sent_bytes = sent.max().unwrap_or_default();
+        figures.herd_source_sent_bytes = self.fleet.load(Process::Control(0)).sent;
+    }
+
+    /// The naive version with the same configuration, list and ordinary work.
+    fn naive(&self, figures: &mut VirtualFigures) {
+        let push = NaivePush {
+            nodes: self.nodes,
+            data_centres: DATA_CENTRES.min(self.nodes),
+        };
+        let members = figures.members_snapshot_bytes;
+        let change = push.push(&self.config, 0);
+        let half = NaivePush {
+            nodes: self.nodes / 2,
+            ..push
+        };
+        let herd = half.push(&self.config, members);
+        let list = members as f64 * CHURN_PER_SECOND as f64;
+        let nodes = self.nodes as f64;
+        let busy = |time: Duration, bytes: u64| {
+            let per_byte = time.as_secs_f64() / bytes.max(1) as f64;
+            per_byte * list * 100.0
+        };
+        figures.naive = Way {
+            source_bytes_per_change: change.source_bytes as f64,
+            source: Load {
+                sent_bytes_per_s: list * nodes,
+                core_percent: busy(change.source_busy / self.nodes as u32, change.node_bytes)
+                    * nodes,
+                ..Load::default()
+            },
+            busiest_node: Load {
+                received_bytes_per_s: list,
+                core_percent: busy(change.node_busy, change.node_bytes),
+                ..Load::default()
+            },
+            mean_node: Load {
+                received_bytes_per_s: list,
+                core_percent: busy(change.node_busy, change.node_bytes),
+                ..Load::default()
+            },
+            change: Times::of(change.times),
+            herd_return: Times::of(herd.times),
+        };
+    }
+}
+
+fn load(load: ProcessLoad, processes: usize) -> Load {
+    let time = WORK_TIME.as_secs_f64() * processes as f64;
+    Load {
+        sent_bytes_per_s: load.sent as f64 / time,
+        received_bytes_per_s: load.received as f64 / time,
+        messages_per_s: load.messages as f64 / time,
+        core_percent: load.busy.as_secs_f64() / time * 100.0,
+    }
+}
+
+/// Evidence of a second: a few moves, each with latencies of both pools.
+fn evidence(seed: u64) -> Evidence {
+    let mut latency = LatencySketch::new();
+    for call in 0..12 {
+        latency.record(Duration::from_millis(2 + (seed + call) % 20));
+    }
+    let pool = PoolEvidence {
+        calls: 12,
+        latency,
+        ..PoolEvidence::default()
+    };
+    let counts = MoveEvidence {
+        step: 1,
+        old: pool.clone(),
+        new: pool,
+        local_cuts: 0,
+    };
+    let moves: BTreeMap<MoveId, MoveEvidence> = (0..MOVES_PER_NODE)
+        .map(|id| (MoveId::new(id), counts.clone()))
+        .collect();
+    Evidence {
+        moves,
+        ..Evidence::default()
+    }
+}
--- a/trefoillock-stand-ins/src/fleet/network.rs
+++ b/trefoillock-stand-ins/src/fleet/network.rs
@@ -176,7 +176,8 @@
         let mut machine = NodeMachine::new(identity, control, rng);
         machine.set_announcements(&[sample::announcement(at, run, self.size.services)]);
         self.nodes[at].machine = Some(machine);
-        let offset = Duration::from_micros(at as u64 * 31 % 50_000);
+        let nodes = u32::try_from(self.size.nodes).unwrap_or(u32::MAX);
+        let offset = NODE_TICK / nodes * u32::try_from(at).unwrap_or_default();
         self.schedule(offset, Event::Tick(Process::Node(at), run));
     }
 
@@ -247,20 +248,19 @@
     /// Lets time pass until something holds, and returns whether it does.
     pub fn run_until(&mut self, end: Timestamp, mut is_done: impl FnMut(&Self) -> bool) -> bool {
         let mut next_look = self.now;
-        while let Some(entry) = self.events.first_entry() {
-            let (at, _) = *entry.key();
-            if at > end {
-                break;
-            }
-            let event = entry.remove();
-            self.now = at;
-            self.handle(event);
-            if self.now >= next_look {
-                next_look = self.now + Duration::from_millis(1);
+        while let Some((at, _)) = self.events.first_key_value().map(|(key, _)| *key)
+            && at <= end
+        {
+            if at >= next_look {
+                next_look = at + Duration::from_millis(1);
                 if is_done(self) {
                     return true;
                 }
             }
+            self.now = at;
+            if let Some((_, event)) = self.events.pop_first() {
+                self.handle(event);
+            }
         }
         self.now = self.now.max(end);
         is_done(self)
--- a/trefoillock-stand-ins/src/fleet/sample.rs
+++ b/trefoillock-stand-ins/src/fleet/sample.rs
@@ -1,21 +1,27 @@
 //! Configurations, announcements and evidence of a given size.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::Arc,
+};
 
 use trefoillock_core::{
     Announcement, Config, ConfigVersion, DataCentre, GUARDS_PER_SLOT, Guard, GuardSet, GuardSlot,
     GuardTable, Incarnation, MemberState, RawMatch, RawPool, RawPoolPolicy, RawRoute, RawTables,
-    Tables,
+    ServerId, Tables,
 };
 
 use super::place;
 
+/// The address of the backend server beside a node, as that node sees it.
+const SERVER_ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9_000));
 /// The number of routes of a service.
 const ROUTES_PER_SERVICE: usize = 3;
 /// The number of pools of a service: the old version and the new one.
 const POOLS_PER_SERVICE: usize = 2;
 
-/// A configuration of `services` services, whose content depends on its version.
+/// A configuration of `services` services. The version says which route has a longer timeout.
 ///
 /// # Panics
 ///
@@ -28,7 +34,10 @@
             raw.pools.push(pool_row(service, pool));
         }
         for route in 0..ROUTES_PER_SERVICE {
-            raw.routes.push(route_row(version, service, route));
+            let changed = version % (services * ROUTES_PER_SERVICE) as u64;
+            let number = (service * ROUTES_PER_SERVICE + route) as u64;
+            raw.routes
+                .push(route_row(service, route, number == changed));
         }
     }
     let tables = Tables::try_from(raw).expect("valid tables");
@@ -46,10 +55,7 @@
     }
 }
 
-/// The route that a version changes is the one whose number is the version.
-fn route_row(version: u64, service: usize, route: usize) -> RawRoute {
-    let number = service * ROUTES_PER_SERVICE + route;
-    let changed = usize::try_from(version).is_ok_and(|version| version % 64 == number % 64);
+fn route_row(service: usize, route: usize, changed: bool) -> RawRoute {
     let class = ["lookup", "posting", "export"][route % 3];
     RawRoute {
         name: format!("service-{service:03}-{class}"),
@@ -101,7 +107,7 @@
 pub fn announcement(node: usize, incarnation: u64, services: usize) -> Announcement {
     let service = node % services.max(1);
     Announcement {
-        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        address: SERVER_ADDRESS,
         service: format!("service-{service:03}")
             .try_into()
             .expect("a valid name"),
@@ -112,3 +118,12 @@
         state: MemberState::Up,
     }
 }
+
+/// The identity of the backend server beside a node.
+#[must_use]
+pub fn server_id(node: usize) -> ServerId {
+    ServerId {
+        node: place::node_name(node),
+        address: SERVER_ADDRESS,
+    }
+}
