feat(replica): measure elections, recovery and the rate of proposals

Change: an example with three replicas on loopback and synced files. The driver no longer logs an unnumbered line when it fails; the cause stands in its status.

--- /dev/null
+++ b/trefoillock-replica/examples/replica_recovery.rs
@@ -0,0 +1,333 @@
+//! Measures elections, recovery, catch-up and the rate of proposals of three replicas.
+//!
+//! The replicas run in one process, talk over loopback sockets and sync to files on one disk
+//! below the folder given as the first argument, or else below the temporary folder.
+//!
+//! `cargo run --release -p trefoillock-replica --example replica_recovery [folder]`
+
+use std::{
+    error::Error,
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use trefoillock_core::{LogIndex, ReplicaId, Term};
+use trefoillock_replica::{
+    ChangeError, DataFolder, Limits, ProposeError, ReplicaHandle, ReplicaSettings, RestoreError,
+    RoleKind, StateMachine,
+};
+use trefoillock_rpc::{RpcServer, Token};
+
+/// The name of the system.
+const SYSTEM: &str = "measurement";
+/// The size of a command in bytes.
+const COMMAND_BYTES: usize = 1_024;
+/// The number of entries of a long log.
+const LOG_ENTRIES: u64 = 10_000;
+/// The number of leaders that are killed.
+const KILLS: usize = 10;
+/// The time for which proposals are counted.
+const PROPOSE_SPAN: Duration = Duration::from_secs(5);
+
+type Result<T> = std::result::Result<T, Box<dyn Error + Send + Sync>>;
+
+/// A state machine that counts the commands and their bytes.
+#[derive(Debug, Clone, Default)]
+struct Counter(Arc<Mutex<(u64, u64)>>);
+
+impl StateMachine for Counter {
+    fn apply(&mut self, _: LogIndex, _: Term, command: &[u8]) -> Vec<u8> {
+        if let Ok(mut counts) = self.0.lock() {
+            counts.0 += 1;
+            counts.1 += command.len() as u64;
+        }
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let counts = self.0.lock().map(|counts| *counts).unwrap_or_default();
+        [counts.0.to_le_bytes(), counts.1.to_le_bytes()].concat()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> std::result::Result<(), RestoreError> {
+        let (count, bytes) = snapshot.split_first_chunk().ok_or("a short snapshot")?;
+        let bytes = bytes.first_chunk().ok_or("a short snapshot")?;
+        if let Ok(mut counts) = self.0.lock() {
+            *counts = (u64::from_le_bytes(*count), u64::from_le_bytes(*bytes));
+        }
+        Ok(())
+    }
+}
+
+struct Running {
+    settings: ReplicaSettings,
+    address: SocketAddr,
+    handle: ReplicaHandle,
+    stop: CancellationToken,
+}
+
+/// Whether a replica's snapshots are taken at the usual times or never.
+#[derive(Clone, Copy)]
+enum Snapshots {
+    Usual,
+    Never,
+}
+
+fn limits(snapshots: Snapshots) -> Limits {
+    match snapshots {
+        Snapshots::Usual => Limits::default(),
+        Snapshots::Never => Limits {
+            snapshot_every: u64::MAX,
+            log_bytes: usize::MAX,
+            ..Limits::default()
+        },
+    }
+}
+
+fn start(settings: ReplicaSettings, listener: TcpListener) -> Result<Running> {
+    let address = listener.local_addr()?;
+    let stop = CancellationToken::new();
+    let machine = Box::new(Counter::default());
+    let handle = ReplicaHandle::start(settings.clone(), machine, stop.clone())?;
+    let server = handle.rpc_routes(RpcServer::new(Token::none(), Arc::default()));
+    tokio::spawn(server.serve(listener, stop.clone()));
+    Ok(Running {
+        settings,
+        address,
+        handle,
+        stop,
+    })
+}
+
+async fn three(root: &Path, snapshots: Snapshots) -> Result<Vec<Running>> {
+    let mut listeners = Vec::new();
+    let mut peers = Vec::new();
+    for id in 1..=3 {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        peers.push((ReplicaId::new(id), listener.local_addr()?));
+        listeners.push(listener);
+    }
+    let mut replicas = Vec::new();
+    for (&(id, address), listener) in peers.iter().zip(listeners) {
+        let folder = root.join(id.to_string());
+        let settings = ReplicaSettings::new(SYSTEM, id, address, folder)
+            .peers(peers.clone())
+            .limits(limits(snapshots));
+        ReplicaHandle::bootstrap(&settings)?;
+        replicas.push(start(settings, listener)?);
+    }
+    Ok(replicas)
+}
+
+/// Waits until a replica leads with a lease. Returns its place.
+async fn leader(replicas: &[Running]) -> usize {
+    let waits = replicas.iter().map(|replica| {
+        let mut status = replica.handle.status();
+        Box::pin(async move {
+            let leads = status.wait_for(|s| s.role == RoleKind::Leader && s.lease_until.is_some());
+            if leads.await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        })
+    });
+    futures::future::select_all(waits).await.1
+}
+
+async fn propose(replicas: &[Running]) -> Result<LogIndex> {
+    loop {
+        let place = leader(replicas).await;
+        let command = vec![7; COMMAND_BYTES];
+        match replicas[place].handle.propose(command).await {
+            Ok((index, _)) => return Ok(index),
+            Err(ProposeError::Unknown) => return Err("an unknown outcome".into()),
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+}
+
+fn quantile(sorted: &[Duration], part: f64) -> Duration {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "the place of a quantile in a short list"
+    )]
+    let place = ((sorted.len() - 1) as f64 * part).round() as usize;
+    sorted[place]
+}
+
+/// Kills leaders and measures the time until a proposal is answered again.
+async fn elections(root: &Path) -> Result<()> {
+    let mut replicas = three(root, Snapshots::Usual).await?;
+    propose(&replicas).await?;
+    let (mut to_leader, mut to_answer) = (Vec::new(), Vec::new());
+    for _ in 0..KILLS {
+        let old = replicas.swap_remove(leader(&replicas).await);
+        let killed = Instant::now();
+        old.stop.cancel();
+        leader(&replicas).await;
+        to_leader.push(killed.elapsed());
+        propose(&replicas).await?;
+        to_answer.push(killed.elapsed());
+        old.handle.stopped().await;
+        let listener = TcpListener::bind(old.address).await?;
+        let again = start(old.settings, listener)?;
+        let last = propose(&replicas).await?;
+        let mut status = again.handle.status();
+        status.wait_for(|s| s.applied >= last).await?;
+        replicas.push(again);
+    }
+    to_leader.sort_unstable();
+    to_answer.sort_unstable();
+    for (what, times) in [
+        ("leader with a lease", to_leader),
+        ("answered proposal", to_answer),
+    ] {
+        let (p50, max) = (quantile(&times, 0.5), quantile(&times, 1.0));
+        println!("kill to next {what}: p50 {p50:.2?}, max {max:.2?} of {KILLS}");
+    }
+    stop(replicas).await;
+    Ok(())
+}
+
+async fn stop(replicas: Vec<Running>) {
+    for replica in replicas {
+        replica.stop.cancel();
+        replica.handle.stopped().await;
+    }
+}
+
+/// Proposes from a number of callers at once. Returns proposals a second.
+async fn rate(replicas: &[Running], callers: usize) -> Result<()> {
+    let handle = &replicas[leader(replicas).await].handle;
+    let begun = Instant::now();
+    let tasks = (0..callers).map(|_| {
+        let handle = handle.clone();
+        tokio::spawn(async move {
+            let mut times = Vec::new();
+            while begun.elapsed() < PROPOSE_SPAN {
+                let sent = Instant::now();
+                handle.propose(vec![7; COMMAND_BYTES]).await?;
+                times.push(sent.elapsed());
+            }
+            Ok::<_, ProposeError>(times)
+        })
+    });
+    let mut times = Vec::new();
+    for task in futures::future::join_all(tasks).await {
+        times.extend(task??);
+    }
+    let span = begun.elapsed();
+    times.sort_unstable();
+    let (p50, p99) = (quantile(&times, 0.5), quantile(&times, 0.99));
+    #[expect(clippy::cast_precision_loss, reason = "a count of proposals")]
+    let rate = times.len() as f64 / span.as_secs_f64();
+    println!("{callers:>4} callers: {rate:>7.0} proposals/s, p50 {p50:.2?}, p99 {p99:.2?}");
+    Ok(())
+}
+
+async fn rates(root: &Path) -> Result<()> {
+    let replicas = three(root, Snapshots::Usual).await?;
+    propose(&replicas).await?;
+    for callers in [1, 16, 64, 256] {
+        rate(&replicas, callers).await?;
+    }
+    let handle = &replicas[leader(&replicas).await].handle;
+    let begun = Instant::now();
+    for _ in 0..1_000 {
+        handle.read_barrier().await?;
+    }
+    println!(
+        "read barrier by lease: {:.2?} each",
+        begun.elapsed() / 1_000
+    );
+    stop(replicas).await;
+    Ok(())
+}
+
+/// Fills a log, then measures a restart of all and the catch-up of a new replica.
+async fn recovery(root: &Path, snapshots: Snapshots) -> Result<()> {
+    let mut replicas = three(root, snapshots).await?;
+    let handle = replicas[leader(&replicas).await].handle.clone();
+    let proposals = (0..LOG_ENTRIES).map(|_| handle.propose(vec![7; COMMAND_BYTES]));
+    for batch in futures::future::join_all(proposals).await {
+        batch?;
+    }
+    let last = propose(&replicas).await?;
+
+    let id = ReplicaId::new(4);
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let settings = ReplicaSettings::new(SYSTEM, id, address, root.join("4"));
+    let settings = settings.limits(limits(snapshots));
+    ReplicaHandle::join(&settings)?;
+    let learner = start(settings, listener)?;
+    let begun = Instant::now();
+    handle.add_learner(id, address).await?;
+    let mut status = learner.handle.status();
+    status.wait_for(|s| s.applied >= last).await?;
+    println!(
+        "  learner holds {last} entries after {:.2?}",
+        begun.elapsed()
+    );
+    while let Err(error) = handle.promote(id).await {
+        if !matches!(error, ChangeError::InProgress | ChangeError::NotCaughtUp(_)) {
+            return Err(error.into());
+        }
+        tokio::task::yield_now().await;
+    }
+    println!("  learner is a voter after {:.2?}", begun.elapsed());
+    replicas.push(learner);
+
+    let settings: Vec<_> = replicas
+        .iter()
+        .map(|r| (r.settings.clone(), r.address))
+        .collect();
+    stop(replicas).await;
+    let begun = Instant::now();
+    let (folder, recovered) = DataFolder::open(&root.join("1"), SYSTEM, ReplicaId::new(1))?;
+    let read = recovered.entries.len();
+    println!(
+        "  files with {read} entries in the log are read in {:.2?}",
+        begun.elapsed()
+    );
+    drop(folder);
+    let begun = Instant::now();
+    let mut replicas = Vec::new();
+    for (settings, address) in settings {
+        replicas.push(start(settings, TcpListener::bind(address).await?)?);
+    }
+    leader(&replicas).await;
+    println!("  cold start to a leader: {:.2?}", begun.elapsed());
+    let last = propose(&replicas).await?;
+    for replica in &replicas {
+        let mut status = replica.handle.status();
+        status.wait_for(|s| s.applied >= last).await?;
+    }
+    println!(
+        "  cold start to all entries applied everywhere: {:.2?}",
+        begun.elapsed()
+    );
+    stop(replicas).await;
+    Ok(())
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let root = match std::env::args().nth(1) {
+        Some(folder) => tempfile::tempdir_in(folder)?,
+        None => tempfile::tempdir()?,
+    };
+    println!("three replicas, commands of {COMMAND_BYTES} bytes, one disk");
+    rates(&root.path().join("rates")).await?;
+    elections(&root.path().join("elections")).await?;
+    println!("{LOG_ENTRIES} entries, never a snapshot:");
+    recovery(&root.path().join("log"), Snapshots::Never).await?;
+    println!("{LOG_ENTRIES} entries, snapshots at the usual times:");
+    recovery(&root.path().join("snapshots"), Snapshots::Usual).await?;
+    Ok(())
+}
--- a/trefoillock-replica/src/driver.rs
+++ b/trefoillock-replica/src/driver.rs
@@ -59,7 +59,6 @@
     /// Runs until `stop` is cancelled or the replica fails, then waits for the disk.
     pub(crate) async fn run(mut self, mut inputs: Inputs, stop: CancellationToken) {
         if let Err(failure) = self.work(&mut inputs, &stop).await {
-            log::error!("replica {} stops: {failure}", self.settings.id);
             let failure = Some(Arc::from(failure));
             self.status.send_modify(|status| status.failure = failure);
         }
