--- a/trefoillock-replica/src/replica/commit.rs
+++ b/trefoillock-replica/src/replica/commit.rs
@@ -34,7 +34,7 @@
 
     /// Stops leading once the removal of this replica has committed.
     fn leave_if_removed(&mut self) {
-        if !self.members_at(self.commit).is_voter(self.identity.id) {
+        if !self.committed_membership().is_voter(self.identity.id) {
             // The others learn of the commit before the leadership ends.
             if let Role::Leader(leadership) = &mut self.role {
                 leadership.round_wanted = true;
--- a/trefoillock-replica/src/replica/output.rs
+++ b/trefoillock-replica/src/replica/output.rs
@@ -5,7 +5,7 @@
 use crate::{Effect, Entry, Message, Replica, Ticket, Write};
 
 /// A message that has not been handed out yet.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Outgoing {
     to: ReplicaId,
     message: Message,
--- a/trefoillock-replica/src/replica/read.rs
+++ b/trefoillock-replica/src/replica/read.rs
@@ -5,7 +5,7 @@
 use crate::{Effect, ReadId, Replica, replica::Role};
 
 /// A read that waits.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct PendingRead {
     id: ReadId,
     state: ReadState,
--- a/trefoillock-replica/src/replica/snapshot.rs
+++ b/trefoillock-replica/src/replica/snapshot.rs
@@ -10,7 +10,7 @@
 };
 
 /// The parts of a snapshot that have arrived.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct IncomingSnapshot {
     position: Position,
     checksum: u32,
