fix(policy): keep goodput under overload, and prove refusals early

Change: overload has hysteresis, a call that would likely miss its deadline gets no contested slot, the queue is indexed; background checks reserve no slots. A claim that a majority proves unused is refused at once instead of waiting for the third guard.

--- a/trefoillock-policy/src/admission.rs
+++ b/trefoillock-policy/src/admission.rs
@@ -1,22 +1,22 @@
 //! Admission of calls to the slots of one backend server.
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 use trefoillock_core::{Map, RefusalReason, RouteClass, Timestamp, data};
 
-use crate::LoadHint;
+use crate::{
+    LoadHint,
+    service_time::ServiceTime,
+    wait_queue::{WaitQueue, Waiting, index},
+};
 
 /// The most calls that wait for each slot.
 const MAX_QUEUED_PER_SLOT: usize = 64;
 /// The part of the queue time above which a standing delay means overload.
 const TARGET_DIVISOR: u32 = 4;
-/// The weight of the newest call in the moving average of the service time.
-const AVERAGE_WEIGHT: f64 = 0.1;
-/// The part of the average service time that a call surely needs.
-const SURE_SERVICE_TIME: f64 = 0.5;
-/// The parts of the slots that exports may take while other calls are offered.
+/// The parts of the slots that exports may take while lookups or postings are offered.
 const EXPORT_SLOTS: (u32, u32) = (3, 4);
-/// The time for which an offered call of another class keeps exports within their part.
+/// The time for which an offered lookup or posting keeps exports within their part.
 const EXPORT_LIMIT_TIME: Duration = Duration::from_secs(5);
 /// The classes in the order in which they get a free slot.
 const PRIORITY: [RouteClass; 4] = [
@@ -50,7 +50,7 @@
 pub enum Offer {
     /// The call may run now; it must be released.
     Admitted,
-    /// The call waits: it is named later by [`Admission::release`], [`Admission::expire`] or
+    /// The call waits: it is named later by [`Admission::release`] or [`Admission::expire`], or
     /// taken back by [`Admission::withdraw`].
     Queued,
     /// The call is refused and has not run.
@@ -66,14 +66,6 @@
     pub reason: RefusalReason,
 }
 
-/// A call that waits.
-#[derive(Debug, Clone, Copy)]
-struct Waiting {
-    ticket: Ticket,
-    since: Timestamp,
-    deadline: Timestamp,
-}
-
 /// A call that runs.
 #[derive(Debug, Clone, Copy)]
 struct Running {
@@ -85,10 +77,13 @@
 ///
 /// Never more calls run than the server has slots, and never more connections are open than it
 /// accepts. Calls that find no free slot wait for a bounded time, by class: postings get a free
-/// slot first, then exports, lookups and background checks. While the delay of the queue stands
-/// above a quarter of the bound, background checks are refused at once, lookups wait only for
-/// that quarter, and the newest lookup goes first, since the oldest ones are about to miss
-/// their deadline.
+/// slot first, then exports, lookups and background checks.
+///
+/// Overload begins when the delay of the queue has stood above a quarter of the bound for the
+/// time of the bound, and ends when the queue is empty. Meanwhile background checks do not wait,
+/// lookups wait only for that quarter, and the newest lookup goes first, since the oldest ones
+/// are about to miss their deadline. A call that would likely miss its deadline does not get a
+/// slot that others wait for.
 ///
 /// Every refusal is given before the call was forwarded, so the call has not run.
 #[derive(Debug)]
@@ -99,9 +94,10 @@
     connections: u32,
     running: Map<Ticket, Running>,
     running_of: [u32; 4],
-    queues: [VecDeque<Waiting>; 4],
-    service_s: [Option<f64>; 4],
+    queue: WaitQueue,
+    service: [ServiceTime; 4],
     refused: Vec<Refused>,
+    is_overloaded: bool,
     below_target_at: Timestamp,
     others_offered_at: Option<Timestamp>,
     lease_until: Option<Timestamp>,
@@ -120,9 +116,10 @@
             connections: 0,
             running: Map::default(),
             running_of: [0; 4],
-            queues: Default::default(),
-            service_s: [None; 4],
+            queue: WaitQueue::default(),
+            service: [ServiceTime::default(); 4],
             refused: Vec::new(),
+            is_overloaded: false,
             below_target_at: Timestamp::EPOCH,
             others_offered_at: None,
             lease_until: None,
@@ -161,7 +158,7 @@
     /// Whether no call runs or waits.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.running.is_empty() && self.queued() == 0
+        self.running.is_empty() && self.queue.is_empty()
     }
 
     /// Counts a new connection to the backend server, or returns `false` if it accepts no more.
@@ -191,15 +188,13 @@
         if self.is_closed(now) {
             return Offer::Refused(RefusalReason::Draining);
         }
-        if class != RouteClass::Export {
+        if matches!(class, RouteClass::Lookup | RouteClass::Posting) {
             self.others_offered_at = Some(now);
         }
-        if self.misses(now, class, deadline) {
+        if now + self.sure_time(class) > deadline || now >= deadline {
             return Offer::Refused(RefusalReason::Deadline);
         }
-        if self.queued() == 0 {
-            self.below_target_at = now;
-        }
+        self.observe_delay(now);
         if self.has_slot(now, class) && self.first_waiting(now).is_none() {
             self.start(now, ticket, class);
             return Offer::Admitted;
@@ -211,14 +206,8 @@
     /// released. Call [`Self::expire`] afterwards.
     #[must_use]
     pub fn release(&mut self, now: Timestamp, ticket: Ticket) -> Vec<Ticket> {
-        if let Some(ended) = self.running.remove(&ticket) {
-            let at = index(ended.class);
-            self.running_of[at] = self.running_of[at].saturating_sub(1);
-            let time = now.since(ended.since).as_secs_f64();
-            self.service_s[at] = Some(match self.service_s[at] {
-                Some(old) => old + AVERAGE_WEIGHT * (time - old),
-                None => time,
-            });
+        if let Some(ended) = self.end(ticket) {
+            self.service[index(ended.class)].record(now.since(ended.since));
         }
         self.admit(now)
     }
@@ -227,13 +216,8 @@
     /// waiting calls that may run now.
     #[must_use]
     pub fn withdraw(&mut self, now: Timestamp, ticket: Ticket) -> Vec<Ticket> {
-        if let Some(ended) = self.running.remove(&ticket) {
-            let at = index(ended.class);
-            self.running_of[at] = self.running_of[at].saturating_sub(1);
-        }
-        for queue in &mut self.queues {
-            queue.retain(|waiting| waiting.ticket != ticket);
-        }
+        self.end(ticket);
+        self.queue.remove(ticket);
         self.admit(now)
     }
 
@@ -254,26 +238,23 @@
         if !self.refused.is_empty() {
             return Some(now);
         }
-        let expiry = |class: RouteClass| {
-            let patience = self.patience(now, class);
-            let queue = self.queues[index(class)].iter();
-            queue.map(move |w| w.deadline.min(w.since + patience)).min()
-        };
-        let first = RouteClass::ALL.into_iter().filter_map(expiry).min();
-        match (first, self.lease_until) {
-            (Some(first), Some(lease)) => Some(first.min(lease)),
-            (first, _) => first,
+        let mut next = self.queue.next_expiry()?;
+        if self.is_overloaded
+            && let Some(oldest) = self.queue.oldest_of(RouteClass::Lookup)
+        {
+            next = next.min(oldest + self.target());
         }
+        Some(self.lease_until.map_or(next, |lease| next.min(lease)))
     }
 
     /// The present load, to be sent with answers.
     #[must_use]
     pub fn hint(&self, now: Timestamp) -> LoadHint {
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let delay = self.delay(now).as_micros();
+        let delay = self.queue.delay(now).as_micros();
         LoadHint {
             running: count(self.running.len()),
-            queued: count(self.queued()),
+            queued: count(self.queue.len()),
             slots: self.slots,
             queue_delay_us: u32::try_from(delay).unwrap_or(u32::MAX),
         }
@@ -283,52 +264,47 @@
         self.draining || self.lease_until.is_some_and(|until| now >= until)
     }
 
-    /// The number of waiting calls.
-    fn queued(&self) -> usize {
-        self.queues.iter().map(VecDeque::len).sum()
-    }
-
-    /// The time that the longest waiting call has waited.
-    fn delay(&self, now: Timestamp) -> Duration {
-        let oldest = self.queues.iter().filter_map(VecDeque::front);
-        let since = oldest.map(|waiting| waiting.since).min();
-        since.map_or(Duration::ZERO, |since| now.since(since))
-    }
-
     /// The delay above which the queue is overloaded.
     fn target(&self) -> Duration {
         self.queue_time / TARGET_DIVISOR
     }
 
-    /// Whether the delay has stood above the target for as long as a call may wait.
-    fn is_overloaded(&self, now: Timestamp) -> bool {
-        self.delay(now) > self.target() && now.since(self.below_target_at) >= self.queue_time
+    /// Notes the delay of the queue, before a call enters or leaves it.
+    fn observe_delay(&mut self, now: Timestamp) {
+        if self.queue.is_empty() {
+            self.is_overloaded = false;
+            self.below_target_at = now;
+        } else if self.queue.delay(now) <= self.target() {
+            self.below_target_at = now;
+        } else if now.since(self.below_target_at) >= self.queue_time {
+            self.is_overloaded = true;
+        }
     }
 
     /// The time that a call of a class may wait.
-    fn patience(&self, now: Timestamp, class: RouteClass) -> Duration {
+    fn patience(&self, class: RouteClass) -> Duration {
         match class {
-            RouteClass::Lookup if self.is_overloaded(now) => self.target(),
-            RouteClass::Background if self.is_overloaded(now) => Duration::ZERO,
+            RouteClass::Lookup if self.is_overloaded => self.target(),
+            RouteClass::Background if self.is_overloaded => Duration::ZERO,
             _ => self.queue_time,
         }
     }
 
-    /// Whether a call cannot be answered by its deadline, even if it started now.
+    /// A time that a call of a class surely needs.
     ///
-    /// The average service time counts only while calls of the class run, so that a past slow
-    /// phase cannot refuse all calls for ever.
-    fn misses(&self, now: Timestamp, class: RouteClass, deadline: Timestamp) -> bool {
-        if now >= deadline {
-            return true;
-        }
-        let at = index(class);
-        match self.service_s[at] {
-            Some(service) if self.running_of[at] > 0 => {
-                now + Duration::from_secs_f64(service * SURE_SERVICE_TIME) > deadline
-            }
-            _ => false,
+    /// The average counts only while calls of the class run, so that a past slow phase cannot
+    /// refuse all calls for ever.
+    fn sure_time(&self, class: RouteClass) -> Duration {
+        if self.running_of[index(class)] == 0 {
+            return Duration::ZERO;
         }
+        self.service[index(class)].sure()
+    }
+
+    /// Whether a call would likely miss its deadline if it started now.
+    fn likely_misses(&self, now: Timestamp, class: RouteClass, deadline: Timestamp) -> bool {
+        let is_known = self.running_of[index(class)] > 0;
+        is_known && now + self.service[index(class)].likely() > deadline
     }
 
     /// Whether a slot is free for a class.
@@ -355,7 +331,7 @@
     fn first_waiting(&self, now: Timestamp) -> Option<RouteClass> {
         PRIORITY
             .into_iter()
-            .find(|class| !self.queues[index(*class)].is_empty() && self.has_slot(now, *class))
+            .find(|class| self.queue.has(*class) && self.has_slot(now, *class))
     }
 
     fn start(&mut self, now: Timestamp, ticket: Ticket, class: RouteClass) {
@@ -363,6 +339,13 @@
         self.running_of[index(class)] += 1;
     }
 
+    fn end(&mut self, ticket: Ticket) -> Option<Running> {
+        let ended = self.running.remove(&ticket)?;
+        let count = &mut self.running_of[index(ended.class)];
+        *count = count.saturating_sub(1);
+        Some(ended)
+    }
+
     fn enqueue(
         &mut self,
         now: Timestamp,
@@ -370,29 +353,29 @@
         class: RouteClass,
         deadline: Timestamp,
     ) -> Offer {
-        if self.patience(now, class).is_zero() || !self.make_room_for(class) {
+        let patience = self.patience(class);
+        if patience.is_zero() || !self.make_room_for(class) {
             return Offer::Refused(RefusalReason::Overloaded);
         }
-        self.queues[index(class)].push_back(Waiting {
+        let waiting = Waiting {
             ticket,
             since: now,
             deadline,
-        });
+            until: deadline.min(now + patience),
+        };
+        self.queue.push(class, waiting);
         Offer::Queued
     }
 
     /// Refuses the oldest waiting call of a lower class if the queue is full.
     fn make_room_for(&mut self, class: RouteClass) -> bool {
         let slots = usize::try_from(self.slots).unwrap_or(usize::MAX);
-        if self.queued() < slots.saturating_mul(MAX_QUEUED_PER_SLOT) {
+        if self.queue.len() < slots.saturating_mul(MAX_QUEUED_PER_SLOT) {
             return true;
         }
-        let lower = PRIORITY
-            .into_iter()
-            .rev()
-            .take_while(|other| *other != class);
-        for other in lower {
-            if let Some(oldest) = self.queues[index(other)].pop_front() {
+        let lower = PRIORITY.into_iter().rev();
+        for other in lower.take_while(|other| *other != class) {
+            if let Some(oldest) = self.queue.pop_oldest(other) {
                 self.refuse(oldest.ticket, RefusalReason::Overloaded);
                 return true;
             }
@@ -402,15 +385,18 @@
 
     /// Starts waiting calls while slots are free.
     fn admit(&mut self, now: Timestamp) -> Vec<Ticket> {
-        if self.delay(now) <= self.target() {
-            self.below_target_at = now;
-        }
+        self.observe_delay(now);
         self.drop_late(now);
         let mut admitted = Vec::new();
         while !self.is_closed(now)
             && let Some(class) = self.first_waiting(now)
-            && let Some(waiting) = self.take(now, class)
+            && let Some(waiting) = self.take(class)
         {
+            let is_contested = !self.queue.is_empty();
+            if is_contested && self.likely_misses(now, class, waiting.deadline) {
+                self.refuse(waiting.ticket, RefusalReason::Deadline);
+                continue;
+            }
             self.start(now, waiting.ticket, class);
             admitted.push(waiting.ticket);
         }
@@ -419,36 +405,32 @@
 
     /// Takes the next waiting call of a class: the newest lookup under overload, else the
     /// oldest call.
-    fn take(&mut self, now: Timestamp, class: RouteClass) -> Option<Waiting> {
-        let newest = class == RouteClass::Lookup && self.is_overloaded(now);
-        let queue = &mut self.queues[index(class)];
-        if newest {
-            queue.pop_back()
+    fn take(&mut self, class: RouteClass) -> Option<Waiting> {
+        if class == RouteClass::Lookup && self.is_overloaded {
+            self.queue.pop_newest(class)
         } else {
-            queue.pop_front()
+            self.queue.pop_oldest(class)
         }
     }
 
     /// Refuses the waiting calls that waited too long or cannot meet their deadline.
     fn drop_late(&mut self, now: Timestamp) {
-        for class in RouteClass::ALL {
-            let patience = self.patience(now, class);
-            let mut queue = std::mem::take(&mut self.queues[index(class)]);
-            queue.retain(|waiting| {
-                let reason = if self.misses(now, class, waiting.deadline) {
-                    RefusalReason::Deadline
-                } else if now.since(waiting.since) >= patience {
-                    RefusalReason::Overloaded
-                } else {
-                    return true;
-                };
-                self.refused.push(Refused {
-                    ticket: waiting.ticket,
-                    reason,
-                });
-                false
-            });
-            self.queues[index(class)] = queue;
+        while let Some(late) = self.queue.pop_expired(now) {
+            let reason = if now >= late.deadline {
+                RefusalReason::Deadline
+            } else {
+                RefusalReason::Overloaded
+            };
+            self.refuse(late.ticket, reason);
+        }
+        if !self.is_overloaded {
+            return;
+        }
+        for class in [RouteClass::Lookup, RouteClass::Background] {
+            let patience = self.patience(class);
+            while let Some(old) = self.queue.pop_older(now, class, patience) {
+                self.refuse(old.ticket, RefusalReason::Overloaded);
+            }
         }
     }
 
@@ -457,19 +439,10 @@
     }
 
     fn refuse_all(&mut self, reason: RefusalReason) {
-        let waiting: Vec<_> = self.queues.iter_mut().flat_map(|q| q.drain(..)).collect();
-        for call in waiting {
-            self.refuse(call.ticket, reason);
+        for class in RouteClass::ALL {
+            while let Some(waiting) = self.queue.pop_oldest(class) {
+                self.refuse(waiting.ticket, reason);
+            }
         }
     }
 }
-
-/// The place of a class in arrays by class.
-const fn index(class: RouteClass) -> usize {
-    match class {
-        RouteClass::Lookup => 0,
-        RouteClass::Posting => 1,
-        RouteClass::Export => 2,
-        RouteClass::Background => 3,
-    }
-}
--- a/trefoillock-policy/src/guard/claim.rs
+++ b/trefoillock-policy/src/guard/claim.rs
@@ -271,8 +271,8 @@
             self.state = ClaimState::Stale { epoch };
             return;
         }
-        let was_answered = self.answered_end().is_some();
-        if was_answered || open == 0 {
+        let is_proved = self.answered_end().is_some() || (!can_win && self.is_proved_unused());
+        if is_proved || open == 0 {
             self.state = ClaimState::Lost(self.loss());
         }
     }
@@ -303,20 +303,33 @@
         })
     }
 
+    /// The guards at which the key was used with another request.
+    fn reused(&self) -> usize {
+        self.count(|vote| matches!(vote, Vote::Reused))
+    }
+
+    /// The guards at which the key was not used before.
+    fn unused(&self) -> usize {
+        self.count(|vote| matches!(vote, Vote::Granted | Vote::Full))
+    }
+
+    /// Whether a majority shows that no claim with the same key and request was granted.
+    fn is_proved_unused(&self) -> bool {
+        self.reused() >= self.quorum || self.unused() >= self.quorum
+    }
+
     /// Why the claim is lost. That this request did not run is only said when a majority of the
     /// guards shows that no claim with the same key and request was ever granted.
     fn loss(&self) -> ClaimLoss {
         if let Some(answered) = self.answered_end() {
             return answered;
         }
-        let reused = self.count(|vote| matches!(vote, Vote::Reused));
-        let unused = self.count(|vote| matches!(vote, Vote::Granted | Vote::Full));
         let unknown =
             self.count(|vote| matches!(vote, Vote::Held(KeyState::Ended(_)) | Vote::Unprovable));
         let running = self.count(|vote| matches!(vote, Vote::Held(KeyState::Running)));
-        if self.quorum > 0 && reused >= self.quorum {
+        if self.reused() >= self.quorum {
             ClaimLoss::Reused
-        } else if self.quorum > 0 && unused >= self.quorum {
+        } else if self.unused() >= self.quorum {
             ClaimLoss::Full
         } else if running > 0 && unknown == 0 {
             ClaimLoss::Running
--- a/trefoillock-policy/src/lib.rs
+++ b/trefoillock-policy/src/lib.rs
@@ -31,6 +31,8 @@
 mod retry_budget;
 mod retry_decision;
 mod server_load;
+mod service_time;
+mod wait_queue;
 
 pub use admission::{Admission, Offer, Refused, Ticket};
 pub use balancer::Balancer;
