--- a/trefoillock-policy/src/balancer.rs
+++ b/trefoillock-policy/src/balancer.rs
@@ -8,14 +8,12 @@
 
 /// The pressure of a local server from which servers of other data centres are considered.
 const SPILL_PRESSURE: f64 = 0.8;
-/// The factor on the cost of a server of another data centre.
-const REMOTE_COST: f64 = 1.25;
-/// The exponent with which costs turn into odds. A higher one follows the costs more strictly.
-const ODDS_EXPONENT: i32 = 4;
+/// The factor on the odds of a server of another data centre.
+const REMOTE_ODDS: f64 = 0.4;
 
 /// Chooses a backend server of one pool for each call of one entry node.
 ///
-/// Two servers are drawn at random and compared by cost: calls in flight from this node, the
+/// Two servers are drawn at random and compared by their costs: calls in flight from this node, the
 /// last hint of load, latency, recent failures and refusals. The cheaper one is taken with odds
 /// that grow with the difference, so no server loses all calls by a number that it reports.
 /// A hint at most doubles the cost of a server and fades within two seconds; outcomes seen by
@@ -115,8 +113,8 @@
         };
         let best = match (local, remote) {
             (Some(local), Some(remote)) => {
-                let costs = (self.cost(now, local), self.cost(now, remote) * REMOTE_COST);
-                Some(if draws.first_wins(costs) {
+                let odds = (self.odds(now, local), self.odds(now, remote) * REMOTE_ODDS);
+                Some(if draws.first_wins(odds) {
                     local
                 } else {
                     remote
@@ -201,8 +199,8 @@
         let first_at = draws.below(count);
         let second_at = (first_at + 1 + draws.below(count - 1)) % count;
         let (first, second) = (nth(first_at)?, nth(second_at)?);
-        let costs = (self.cost(now, first), self.cost(now, second));
-        Some(if draws.first_wins(costs) {
+        let odds = (self.odds(now, first), self.odds(now, second));
+        Some(if draws.first_wins(odds) {
             first
         } else {
             second
@@ -215,8 +213,8 @@
         local.slow_start(now, span) < 1.0 || local.pressure(now, span) >= SPILL_PRESSURE
     }
 
-    fn cost(&self, now: Timestamp, server: &ServerLoad) -> f64 {
-        server.cost(now, self.slow_start_span(), self.mean_latency_us())
+    fn odds(&self, now: Timestamp, server: &ServerLoad) -> f64 {
+        server.odds(now, self.slow_start_span(), self.mean_latency_us())
     }
 
     /// The average of the servers' latencies, in microseconds.
@@ -269,10 +267,9 @@
         (self.next() % bound as u64) as usize
     }
 
-    /// Whether the first of two costs wins, with odds by the power of their ratio.
-    fn first_wins(&mut self, costs: (f64, f64)) -> bool {
-        let ratio = (costs.0 / costs.1).powi(ODDS_EXPONENT);
+    /// Whether the first of two wins by their odds.
+    fn first_wins(&mut self, odds: (f64, f64)) -> bool {
         let draw = f64::from((self.next() >> 32) as u32) / f64::from(u32::MAX);
-        draw * (1.0 + ratio) < 1.0
+        draw * (odds.0 + odds.1) < odds.0
     }
 }
--- a/trefoillock-policy/src/server_load.rs
+++ b/trefoillock-policy/src/server_load.rs
@@ -32,6 +32,8 @@
 const PROBES_TO_READMIT: u32 = 3;
 /// The share of load at the beginning of a slow start.
 const SLOW_START_FLOOR: f64 = 0.1;
+/// The exponent with which costs turn into odds. A higher one follows the costs more strictly.
+const ODDS_EXPONENT: i32 = 4;
 /// The bounds of the latency of a server as a multiple of the pool's average.
 const LATENCY_RATIO: (f64, f64) = (0.5, 4.0);
 
@@ -132,8 +134,14 @@
         passed.clamp(SLOW_START_FLOOR, 1.0)
     }
 
-    /// The cost of one more call; a lower one is better. `mean_us` is the pool's latency.
-    pub(crate) fn cost(&self, now: Timestamp, span: Duration, mean_us: Option<f64>) -> f64 {
+    /// The odds that the server is taken: its share of the slow start, divided by a power of the
+    /// cost. `mean_us` is the pool's latency.
+    pub(crate) fn odds(&self, now: Timestamp, span: Duration, mean_us: Option<f64>) -> f64 {
+        self.slow_start(now, span) / self.cost(now, mean_us).powi(ODDS_EXPONENT)
+    }
+
+    /// The cost of one more call; a lower one is better.
+    fn cost(&self, now: Timestamp, mean_us: Option<f64>) -> f64 {
         let load = f64::from(self.in_flight) + 1.0;
         let hint = 1.0 + HINT_WEIGHT * self.hinted_utilization(now);
         let latency = match (self.latency_us, mean_us) {
@@ -145,7 +153,7 @@
         let decay = self.rate_decay(now);
         let failures = 1.0 + FAILURE_WEIGHT * self.failure_rate * decay;
         let refusals = 1.0 + REFUSAL_WEIGHT * self.refusal_rate * decay;
-        load * hint * latency * failures * refusals / self.slow_start(now, span)
+        load * hint * latency * failures * refusals
     }
 
     /// How full the server is from this node's view; 1 and more means that it is overloaded.
