--- a/trefoillock-control/src/source_machine.rs
+++ b/trefoillock-control/src/source_machine.rs
@@ -8,15 +8,15 @@
 };
 
 use trefoillock_core::{
-    Config, CrashReport, DataCentre, Evidence, Fingerprint, Guard, Members, MembersVersion, Term,
-    Timestamp,
+    Config, CrashReport, DataCentre, Evidence, Fingerprint, Guard, Members, MembersVersion, NodeId,
+    Term, Timestamp,
 };
 
 use crate::{
     Admission, ChildKey, ConfigMark, Distributor, DownMessage, FleetStatus, Floor, Hello,
     MemberTable, MembersDelta, MembersUpdate, ParentAddress, Payload, Placement, SubtreeChange,
     TreePlan, UpMessage,
-    distributor::{Taken, retry_after},
+    distributor::{Route, Taken, retry_after},
     timing::{LEADER_GRACE, LEADER_GRACE_LIMIT, MEMBERS_WINDOW},
 };
 
@@ -283,8 +283,11 @@
                 MembersVersion::default()
             },
         };
-        let alternates = self.alternates(key);
-        if let Some(beat) = self.distributor.beat(key, floor, &alternates) {
+        let route = Route {
+            path: Vec::new(),
+            alternates: self.alternates(key),
+        };
+        if let Some(beat) = self.distributor.beat(key, floor, &route) {
             let beat = DownMessage::Beat(Box::new(beat));
             self.effects.push(SourceEffect::Send(key, beat));
         }
@@ -412,6 +415,11 @@
         }
     }
 
+    /// The nodes that are known.
+    pub fn known_nodes(&self) -> impl Iterator<Item = NodeId> {
+        self.table.nodes().cloned()
+    }
+
     /// Who serves what.
     #[must_use]
     pub fn status(&self) -> FleetStatus {
