fix(replica): let a replica campaign until its removal has committed

Cause: a leader appended its own removal to its log alone and crashed. Its log was the most up to date, so it refused its vote, and it did not campaign since it was no voter of its latest membership: no leader was possible. Change: a voter of the committed membership campaigns; its own vote does not count if it is no voter of the latest one. Conclusion: the directed test fails without the change in may_campaign and passes with it.

--- a/trefoillock-replica/src/replica/election.rs
+++ b/trefoillock-replica/src/replica/election.rs
@@ -14,7 +14,7 @@
     /// Asks the voters whether they would vote for this replica.
     pub(super) fn start_pre_vote(&mut self) {
         self.reset_election();
-        if !self.is_voter() || self.refused.is_some() {
+        if !self.may_campaign() || self.refused.is_some() {
             return;
         }
         self.leader = None;
@@ -28,6 +28,14 @@
         self.count_pre_votes();
     }
 
+    /// Whether the replica is a voter, also while its removal has not committed yet.
+    ///
+    /// Its log may be the only one with the removal that the others vote for. Its own vote
+    /// counts only if it is a voter of the latest membership.
+    fn may_campaign(&self) -> bool {
+        self.is_voter() || self.committed_membership().is_voter(self.identity.id)
+    }
+
     pub(super) fn on_pre_vote(&mut self, from: ReplicaId, term: Term, last: Position) {
         let granted =
             term > self.hard_state.term && last >= self.log.last() && !self.leader_is_alive();
--- a/trefoillock-replica/tests/machine.rs
+++ b/trefoillock-replica/tests/machine.rs
@@ -398,3 +398,27 @@
     assert_eq!(machine.sent, [told]);
     assert_eq!(machine.replica.term(), term);
 }
+
+#[test]
+fn a_replica_whose_removal_has_not_committed_can_still_lead() {
+    let others: Vec<_> = (2..=4).map(|n| (id(n), address(n))).collect();
+    let removal = Content::Members(Membership::of_voters(&others));
+    let log = vec![blank(1, 1), Entry::new(position(1, 2), removal)];
+    let mut machine = Machine::new(4, 1, log, Limits::default());
+    // One vote is no quorum of three, since its own does not count.
+    machine.pass(Duration::from_millis(2_100));
+    assert_eq!(machine.replica.role(), RoleKind::Candidate);
+    let next = machine.replica.term().next();
+    let granted = |term| Message::PreVoteAnswer {
+        term,
+        granted: true,
+    };
+    machine.receive(2, granted(next));
+    assert_eq!(machine.replica.term(), Term::new(1));
+    machine.elect(&[2, 3]);
+    machine.accept(2, 3);
+    assert_eq!(machine.replica.commit(), LogIndex::ZERO);
+    machine.accept(3, 3);
+    assert_eq!(machine.replica.commit(), LogIndex::new(3));
+    assert_eq!(machine.replica.role(), RoleKind::Learner);
+}
