fix(policy): count no vote from before a loss of guards

A claim held the key at the one guard that survived a loss, while the dead majority had granted it to another claim; asking again after the loss, the claim was granted by the survivor and by guards that copied from it. Change: after a loss a claim that already owns a key is checked like one of an unknown key. A test of its own shows it without the model. Conclusion: the safety argument had left out votes that are asked for again; it names them now.

--- a/trefoillock-policy/src/guard.rs
+++ b/trefoillock-policy/src/guard.rs
@@ -34,8 +34,10 @@
 //!
 //! *Loss.* When a majority of a set died, nobody can tell what it had granted. The next set then
 //! carries the time `lost_at` of its planning, which is later than every grant of the dead
-//! guards. Until [`KEY_WINDOW`] has passed, guards grant no unknown key unless its own time, as
-//! embedded in a `UUIDv7`, is later than `lost_at` by [`CLOCK_SKEW_MARGIN`]. Guards that are
+//! guards. Until [`KEY_WINDOW`] has passed, guards grant no key unless its own time, as embedded
+//! in a `UUIDv7`, is later than `lost_at` by [`CLOCK_SKEW_MARGIN`]. That holds for unknown keys
+//! and also for a claim that asks again for a key which it already holds at a surviving guard:
+//! the dead ones may have granted the key to another claim. Guards that are
 //! alive and could still form a majority of an older epoch are named as `previous`, so a
 //! majority of them promises before the new set is active; dead guards grant nothing.
 //!
--- a/trefoillock-policy/src/guard/slot_keeper.rs
+++ b/trefoillock-policy/src/guard/slot_keeper.rs
@@ -138,12 +138,13 @@
             return Vote::Syncing;
         }
         self.sweep(now);
-        if let Some(record) = self.records.get(&req.key)
-            && let Some(vote) = known_vote(now, record, req)
-        {
-            return vote;
+        let record = self.records.get(&req.key);
+        match record.and_then(|record| known_vote(now, record, req)) {
+            // The claim may own the key here since before a loss, and another one elsewhere.
+            Some(Vote::Granted) if !self.is_provably_new(now, req) => Vote::Unprovable,
+            Some(vote) => vote,
+            None => self.claim_unowned(now, req),
         }
-        self.claim_unowned(now, req)
     }
 
     /// Answers a claim of a key that nobody owns, as far as this guard knows.
@@ -162,7 +163,7 @@
         Vote::Granted
     }
 
-    /// Whether a key that nobody owns here cannot have been granted before.
+    /// Whether a key that no other claim owns here cannot have been granted to another one.
     fn is_provably_new(&self, now: Timestamp, req: &ClaimRequest) -> bool {
         if now >= req.running_until + CLOCK_SKEW_MARGIN {
             return false;
--- /dev/null
+++ b/trefoillock-policy/tests/guard_claim.rs
@@ -0,0 +1,314 @@
+//! The guard step by step: what resends are told, expiry, loss, and races of two claimants.
+
+use std::time::Duration;
+
+use trefoillock_core::{
+    DataCentre, Fingerprint, Guard, GuardSet, GuardSlot, GuardTable, Incarnation, NodeId, Outcome,
+    RefusalReason, Timestamp,
+};
+use trefoillock_policy::{
+    CLOCK_SKEW_MARGIN, Claim, ClaimId, ClaimLoss, ClaimState, Finish, GuardKeeper, KEY_WINDOW,
+    KeyEnd, KeyHash, MAX_KEYS_PER_SLOT, uuid_v7_time,
+};
+
+const NOW: Timestamp = Timestamp::from_secs(1_000_000);
+const REQUEST: Fingerprint = Fingerprint::new(1);
+const OTHER_REQUEST: Fingerprint = Fingerprint::new(2);
+
+fn guard(number: u16) -> Guard {
+    Guard {
+        node: NodeId::try_from(format!("node-{number}")).expect("valid name"),
+        incarnation: Incarnation::new(1),
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        data_centre: DataCentre::try_from("a").expect("valid name"),
+    }
+}
+
+/// Three active guards of one slot.
+struct Guards {
+    set: GuardSet,
+    keepers: Vec<(Guard, GuardKeeper)>,
+    next: u64,
+}
+
+impl Guards {
+    fn new(lost_at: Option<Timestamp>) -> Self {
+        let guards: Vec<Guard> = (0..3).map(guard).collect();
+        let set = GuardSet {
+            epoch: 1,
+            guards: guards.clone(),
+            previous: Vec::new(),
+            previous_epoch: 0,
+            lost_at,
+        };
+        let table = GuardTable::from([(GuardSlot::of_hash(0), set.clone())]);
+        let keeper = |guard: Guard| {
+            let mut keeper = GuardKeeper::new(guard.node.clone(), guard.incarnation);
+            keeper.sync(&table);
+            (guard, keeper)
+        };
+        let keepers = guards.into_iter().map(keeper).collect();
+        Self {
+            set,
+            keepers,
+            next: 0,
+        }
+    }
+
+    fn claim(&mut self, now: Timestamp, key: u64, request: Fingerprint) -> Claim {
+        self.claim_at(now, key, request, None)
+    }
+
+    fn claim_at(
+        &mut self,
+        now: Timestamp,
+        key: u64,
+        request: Fingerprint,
+        key_time: Option<Timestamp>,
+    ) -> Claim {
+        self.next += 1;
+        let id = ClaimId::new(1, self.next);
+        let key = KeyHash { high: 0, low: key };
+        let until = now + Duration::from_secs(10);
+        Claim::new(now, id, key, request, key_time, until, &self.set)
+    }
+
+    /// Lets some guards answer.
+    fn ask(&mut self, now: Timestamp, claim: &mut Claim, reached: &[usize]) -> ClaimState {
+        for (guard, request) in claim.requests() {
+            let at = self.keepers.iter().position(|(g, _)| *g == guard);
+            let at = at.expect("a guard");
+            if reached.contains(&at) {
+                let answer = self.keepers[at].1.claim(now, &request);
+                claim.answer(now, &guard, answer);
+            }
+        }
+        claim.state().clone()
+    }
+
+    fn claim_all(&mut self, now: Timestamp, key: u64, request: Fingerprint) -> (Claim, ClaimState) {
+        let mut claim = self.claim(now, key, request);
+        let state = self.ask(now, &mut claim, &[0, 1, 2]);
+        (claim, state)
+    }
+
+    fn finish(&mut self, now: Timestamp, claim: &Claim, finish: &Finish) {
+        for (guard, request) in claim.finish(None, finish) {
+            let found = self.keepers.iter_mut().find(|(g, _)| *g == guard);
+            found.expect("a guard").1.finish(now, &request);
+        }
+    }
+}
+
+fn answered() -> Finish {
+    Finish::Ended(KeyEnd::Answered {
+        status: 201,
+        stored: None,
+    })
+}
+
+#[test]
+fn a_resend_is_told_what_became_of_the_first_send() {
+    let mut guards = Guards::new(None);
+    let (first, state) = guards.claim_all(NOW, 1, REQUEST);
+    assert_eq!(state, ClaimState::Won);
+    let (_, state) = guards.claim_all(NOW, 1, REQUEST);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Running));
+    guards.finish(NOW, &first, &answered());
+    let (_, state) = guards.claim_all(NOW, 1, REQUEST);
+    let loss = ClaimLoss::Answered {
+        status: 201,
+        stored: None,
+    };
+    assert_eq!(loss.reason(), RefusalReason::AlreadyRun);
+    assert_eq!(state, ClaimState::Lost(loss));
+}
+
+#[test]
+fn a_call_that_broke_off_or_outlived_its_deadline_is_unknown() {
+    let mut guards = Guards::new(None);
+    let (first, _) = guards.claim_all(NOW, 1, REQUEST);
+    guards.finish(NOW, &first, &Finish::Ended(KeyEnd::MayHaveRun));
+    let (_, state) = guards.claim_all(NOW, 1, REQUEST);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Unknown));
+    assert_eq!(ClaimLoss::Unknown.outcome(), Outcome::MayHaveRun);
+    // The entry node of this one died: nobody reports its end.
+    let _ = guards.claim_all(NOW, 2, REQUEST);
+    let later = NOW + Duration::from_secs(11);
+    let (_, state) = guards.claim_all(later, 2, REQUEST);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Unknown));
+}
+
+#[test]
+fn a_released_key_can_be_tried_again() {
+    let mut guards = Guards::new(None);
+    let (first, _) = guards.claim_all(NOW, 1, REQUEST);
+    guards.finish(NOW, &first, &Finish::Released);
+    let (_, state) = guards.claim_all(NOW, 1, REQUEST);
+    assert_eq!(state, ClaimState::Won);
+}
+
+#[test]
+fn a_key_with_another_request_is_a_named_error() {
+    let mut guards = Guards::new(None);
+    let (first, _) = guards.claim_all(NOW, 1, REQUEST);
+    let (_, state) = guards.claim_all(NOW, 1, OTHER_REQUEST);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Reused));
+    guards.finish(NOW, &first, &answered());
+    let (_, state) = guards.claim_all(NOW, 1, OTHER_REQUEST);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Reused));
+}
+
+#[test]
+fn of_two_racing_claims_at_most_one_wins() {
+    let mut guards = Guards::new(None);
+    let mut left = guards.claim(NOW, 1, REQUEST);
+    let mut right = guards.claim(NOW, 1, REQUEST);
+    guards.ask(NOW, &mut left, &[0]);
+    guards.ask(NOW, &mut right, &[1]);
+    // The third guard is down: nobody can win, and neither is told that it did not run.
+    guards.ask(NOW, &mut left, &[1]);
+    guards.ask(NOW, &mut right, &[0]);
+    assert_eq!(*left.state(), ClaimState::Asking);
+    left.unreachable(&guard(2));
+    right.expire(NOW + Duration::from_secs(5));
+    for claim in [&left, &right] {
+        assert_eq!(*claim.state(), ClaimState::Lost(ClaimLoss::Running));
+    }
+    // A late vote does not win a lost claim.
+    assert!(left.requests().is_empty());
+}
+
+#[test]
+fn a_claim_counts_each_guard_once_and_no_late_vote() {
+    let mut guards = Guards::new(None);
+    let mut claim = guards.claim(NOW, 1, REQUEST);
+    let (first, request) = claim.requests().swap_remove(0);
+    let answer = guards.keepers[0].1.claim(NOW, &request);
+    claim.answer(NOW, &first, answer.clone());
+    claim.answer(NOW, &first, answer);
+    assert_eq!(*claim.state(), ClaimState::Asking);
+    let late = claim.give_up_at();
+    let state = guards.ask(late, &mut claim, &[0, 1, 2]);
+    assert_eq!(state, ClaimState::Asking);
+    claim.expire(late);
+    assert!(matches!(claim.state(), ClaimState::Lost(_)));
+}
+
+#[test]
+fn after_a_loss_only_keys_that_are_surely_newer_are_granted() {
+    let mut guards = Guards::new(Some(NOW));
+    let later = NOW + Duration::from_mins(2);
+    let mut state_of = |now, key, time| {
+        let mut claim = guards.claim_at(now, key, REQUEST, time);
+        guards.ask(now, &mut claim, &[0, 1, 2])
+    };
+    let unknown = ClaimState::Lost(ClaimLoss::Unknown);
+    assert_eq!(state_of(later, 1, None), unknown);
+    assert_eq!(state_of(later, 2, Some(NOW + CLOCK_SKEW_MARGIN)), unknown);
+    let surely_newer = NOW + CLOCK_SKEW_MARGIN + Duration::from_millis(1);
+    assert_eq!(state_of(later, 3, Some(surely_newer)), ClaimState::Won);
+    // A time in the future proves nothing.
+    assert_eq!(
+        state_of(later, 4, Some(later + Duration::from_mins(1))),
+        unknown
+    );
+    let after_window = NOW + KEY_WINDOW + CLOCK_SKEW_MARGIN;
+    assert_eq!(state_of(after_window, 5, None), ClaimState::Won);
+}
+
+/// A majority that died may have granted the key to another claim, although the surviving guard
+/// granted it to this one.
+#[test]
+fn a_vote_from_before_a_loss_does_not_count_after_it() {
+    let mut guards = Guards::new(None);
+    let mut claim = guards.claim(NOW, 1, REQUEST);
+    guards.ask(NOW, &mut claim, &[0]);
+    guards.set.epoch = 2;
+    guards.set.lost_at = Some(NOW);
+    for guard in &mut guards.set.guards[1..] {
+        guard.incarnation = Incarnation::new(2);
+    }
+    let table = GuardTable::from([(GuardSlot::of_hash(0), guards.set.clone())]);
+    for ((guard, keeper), newest) in guards.keepers.iter_mut().zip(&guards.set.guards) {
+        if guard != newest {
+            *keeper = GuardKeeper::new(newest.node.clone(), newest.incarnation);
+        }
+        *guard = newest.clone();
+        keeper.sync(&table);
+    }
+    claim.restart(&guards.set);
+    let state = guards.ask(NOW, &mut claim, &[0, 1, 2]);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Unknown));
+}
+
+#[test]
+fn a_timed_key_never_runs_again_after_the_window() {
+    let mut guards = Guards::new(None);
+    let mut claim = guards.claim_at(NOW, 1, REQUEST, Some(NOW));
+    assert_eq!(guards.ask(NOW, &mut claim, &[0, 1, 2]), ClaimState::Won);
+    guards.finish(NOW, &claim, &answered());
+    let later = NOW + KEY_WINDOW * 2;
+    let mut resend = guards.claim_at(later, 1, REQUEST, Some(NOW));
+    let state = guards.ask(later, &mut resend, &[0, 1, 2]);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Unknown));
+    assert!(guards.keepers.iter().all(|(_, keeper)| keeper.is_empty()));
+}
+
+#[test]
+fn a_full_guard_refuses_instead_of_forgetting() {
+    let mut guards = Guards::new(None);
+    for key in 0..MAX_KEYS_PER_SLOT as u64 {
+        assert_eq!(guards.claim_all(NOW, key, REQUEST).1, ClaimState::Won);
+    }
+    let (_, state) = guards.claim_all(NOW, u64::MAX, REQUEST);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Full));
+    assert_eq!(ClaimLoss::Full.outcome(), Outcome::DidNotRun);
+    let (_, state) = guards.claim_all(NOW, 0, REQUEST);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Running));
+}
+
+#[test]
+fn a_restarted_guard_and_an_older_epoch_grant_nothing() {
+    let mut guards = Guards::new(None);
+    let mut claim = guards.claim(NOW, 1, REQUEST);
+    for (_, keeper) in &mut guards.keepers[..2] {
+        *keeper = GuardKeeper::new(guard(0).node, Incarnation::new(2));
+    }
+    let state = guards.ask(NOW, &mut claim, &[0, 1, 2]);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Unknown));
+
+    let mut guards = Guards::new(None);
+    let mut claim = guards.claim(NOW, 2, REQUEST);
+    guards.set.epoch = 2;
+    guards.set.previous = guards.set.guards.clone();
+    guards.set.previous_epoch = 1;
+    let table = GuardTable::from([(GuardSlot::of_hash(0), guards.set.clone())]);
+    for (_, keeper) in &mut guards.keepers {
+        keeper.sync(&table);
+        assert!(keeper.acks().is_empty());
+    }
+    let state = guards.ask(NOW, &mut claim, &[0, 1, 2]);
+    assert_eq!(state, ClaimState::Stale { epoch: 2 });
+    assert_eq!(*claim.restart(&guards.set), ClaimState::Asking);
+    // Nobody has copied yet.
+    let state = guards.ask(NOW, &mut claim, &[0, 1, 2]);
+    assert_eq!((state, claim.requests().len()), (ClaimState::Asking, 3));
+}
+
+#[test]
+fn only_uuids_of_version_7_have_a_time() {
+    let key = "01935f4a-7c00-7abc-8def-0123456789ab";
+    let time = uuid_v7_time(key).expect("a UUIDv7");
+    assert_eq!(time.as_millis(), 0x0193_5f4a_7c00);
+    assert_eq!(uuid_v7_time(&format!("\"{key}\"")), Some(time));
+    for other in [
+        "01935f4a-7c00-4abc-8def-0123456789ab",
+        "01935f4a-7c00-7abc-0def-0123456789ab",
+        "01935f4a7c007abc8def0123456789ab",
+        "01935f4a-7c00-7abc-8def-0123456789aé",
+        "",
+    ] {
+        assert_eq!(uuid_v7_time(other), None, "{other}");
+    }
+}
--- /dev/null
+++ b/trefoillock-policy/tests/guard_planner.rs
@@ -0,0 +1,225 @@
+//! The planner of guard sets: spread, single changes, restarts and losses.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use trefoillock_core::{
+    DataCentre, GUARD_SLOTS, Guard, GuardSlot, GuardTable, Incarnation, NodeId, Timestamp,
+};
+use trefoillock_policy::{DeadGuards, GuardAck, GuardAcks, plan_guards};
+
+const NOW: Timestamp = Timestamp::from_secs(1_000);
+
+fn guard(number: usize, incarnation: u64) -> Guard {
+    Guard {
+        node: NodeId::try_from(format!("node-{number:02}")).expect("valid name"),
+        incarnation: Incarnation::new(incarnation),
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        data_centre: DataCentre::try_from(format!("dc-{}", number % 3)).expect("valid name"),
+    }
+}
+
+fn guards(count: usize) -> Vec<Guard> {
+    (0..count).map(|number| guard(number, 1)).collect()
+}
+
+/// Plans until nothing changes; all guards of each set become active at once.
+fn settle(table: &mut GuardTable, live: &[Guard]) -> usize {
+    let mut changes = 0;
+    for _ in 0..1_000 {
+        let acks = all_active(table);
+        let plan = plan_guards(NOW, table, live, &DeadGuards::new(), &acks);
+        if plan.is_empty() {
+            return changes;
+        }
+        changes += plan.len();
+        check_single_changes(table, &plan);
+        table.extend(plan);
+    }
+    panic!("the plan does not settle");
+}
+
+fn all_active(table: &GuardTable) -> GuardAcks {
+    let mut acks = GuardAcks::new();
+    for (slot, set) in table {
+        for guard in &set.guards {
+            let ack = GuardAck {
+                slot: *slot,
+                epoch: set.epoch,
+            };
+            acks.record(ack, &guard.node, guard.incarnation);
+        }
+    }
+    acks
+}
+
+/// Each change of a settled set keeps all guards but one and names them as previous.
+fn check_single_changes(table: &GuardTable, plan: &[(GuardSlot, trefoillock_core::GuardSet)]) {
+    for (slot, next) in plan {
+        let Some(set) = table.get(slot) else {
+            continue;
+        };
+        assert_eq!(next.epoch, set.epoch + 1);
+        if next.lost_at.is_none() {
+            let kept = set.guards.iter().filter(|g| next.guards.contains(g));
+            assert!(kept.count() + 1 >= set.guards.len());
+            assert_eq!(next.previous, set.guards);
+            assert_eq!(next.previous_epoch, set.epoch);
+        }
+    }
+}
+
+fn loads(table: &GuardTable) -> BTreeMap<&str, usize> {
+    let mut loads = BTreeMap::new();
+    for guard in table.values().flat_map(|set| &set.guards) {
+        *loads.entry(guard.node.as_str()).or_default() += 1;
+    }
+    loads
+}
+
+#[test]
+fn guards_are_spread_over_data_centres_and_nodes() {
+    for count in [3, 4, 6, 9, 20] {
+        let live = guards(count);
+        let mut table = GuardTable::new();
+        settle(&mut table, &live);
+        assert_eq!(table.len(), usize::from(GUARD_SLOTS));
+        for set in table.values() {
+            let centres: BTreeSet<_> = set.guards.iter().map(|g| &g.data_centre).collect();
+            assert_eq!((set.guards.len(), centres.len()), (3, 3));
+        }
+        let loads = loads(&table);
+        // With four nodes, two of them share a data centre and its third of the load.
+        let even = count % 3 == 0;
+        let (low, high) = (loads.values().min(), loads.values().max());
+        assert!(
+            !even || high.unwrap() - low.unwrap() <= 4,
+            "{count}: {loads:?}"
+        );
+    }
+}
+
+#[test]
+fn fewer_than_three_nodes_are_all_guards() {
+    for count in [1, 2] {
+        let mut table = GuardTable::new();
+        settle(&mut table, &guards(count));
+        assert!(table.values().all(|set| set.guards.len() == count));
+    }
+    assert!(
+        plan_guards(
+            NOW,
+            &GuardTable::new(),
+            &[],
+            &DeadGuards::new(),
+            &GuardAcks::new()
+        )
+        .is_empty()
+    );
+}
+
+#[test]
+fn sets_grow_and_spread_when_nodes_join() {
+    let mut table = GuardTable::new();
+    settle(&mut table, &guards(1));
+    settle(&mut table, &guards(3));
+    assert!(
+        table
+            .values()
+            .all(|set| set.guards.len() == 3 && set.lost_at.is_none())
+    );
+    settle(&mut table, &guards(12));
+    let loads = loads(&table);
+    assert_eq!(loads.len(), 12);
+    assert!(
+        loads.values().all(|load| (58..=70).contains(load)),
+        "{loads:?}"
+    );
+}
+
+#[test]
+fn a_restarted_node_takes_its_own_place() {
+    let mut table = GuardTable::new();
+    let mut live = guards(6);
+    settle(&mut table, &live);
+    let before = table.clone();
+    live[2] = guard(2, 2);
+    let affected = before
+        .values()
+        .filter(|set| set.guards.contains(&guard(2, 1)));
+    assert_eq!(settle(&mut table, &live), affected.count());
+    for (slot, set) in &table {
+        assert_eq!(set.lost_at, None);
+        let nodes = |set: &trefoillock_core::GuardSet| -> BTreeSet<NodeId> {
+            set.guards.iter().map(|g| g.node.clone()).collect()
+        };
+        assert_eq!(nodes(set), nodes(&before[slot]));
+        assert!(!set.guards.contains(&guard(2, 1)));
+    }
+}
+
+#[test]
+fn an_unsettled_set_is_left_alone() {
+    let mut table = GuardTable::new();
+    settle(&mut table, &guards(6));
+    let live = guards(5);
+    let plan = plan_guards(NOW, &table, &live, &DeadGuards::new(), &GuardAcks::new());
+    assert!(plan.is_empty());
+    let plan = plan_guards(NOW, &table, &live, &DeadGuards::new(), &all_active(&table));
+    assert!(!plan.is_empty());
+}
+
+#[test]
+fn a_silent_majority_is_no_loss_but_a_restarted_one_is() {
+    let mut table = GuardTable::new();
+    settle(&mut table, &guards(3));
+    let acks = all_active(&table);
+    let silent = plan_guards(NOW, &table, &guards(1), &DeadGuards::new(), &acks);
+    assert!(silent.is_empty());
+    let live = [guard(0, 1), guard(1, 2), guard(2, 2)];
+    let plan = plan_guards(NOW, &table, &live, &DeadGuards::new(), &acks);
+    assert_eq!(plan.len(), usize::from(GUARD_SLOTS));
+    for (_, set) in plan {
+        assert_eq!((set.lost_at, set.guards.len()), (Some(NOW), 3));
+        assert!(set.previous.is_empty() && set.previous_epoch == 0);
+    }
+}
+
+#[test]
+fn an_operator_vouches_for_vms_that_are_gone() {
+    let mut table = GuardTable::new();
+    settle(&mut table, &guards(3));
+    let gone = [1, 2].map(|number| {
+        let guard = guard(number, 1);
+        (guard.node, guard.incarnation)
+    });
+    let dead = DeadGuards::from(gone);
+    let plan = plan_guards(NOW, &table, &[guard(0, 1)], &dead, &all_active(&table));
+    assert!(plan.iter().all(|(_, set)| set.lost_at == Some(NOW)));
+    assert!(plan.iter().all(|(_, set)| set.guards == [guard(0, 1)]));
+    assert_eq!(plan.len(), usize::from(GUARD_SLOTS));
+}
+
+/// A set that was never settled loses its majority, while the guards before it are alive and
+/// may not have promised: they must be asked to.
+#[test]
+fn a_loss_in_mid_change_seals_the_guards_before() {
+    let mut table = GuardTable::new();
+    settle(&mut table, &guards(3));
+    let before = table.clone();
+    let live = [guard(0, 1), guard(1, 1), guard(3, 1), guard(4, 1)];
+    let plan = plan_guards(NOW, &table, &live, &DeadGuards::new(), &all_active(&table));
+    table.extend(plan);
+    let live = [
+        guard(0, 1),
+        guard(1, 2),
+        guard(3, 2),
+        guard(4, 2),
+        guard(2, 1),
+    ];
+    let plan = plan_guards(NOW, &table, &live, &DeadGuards::new(), &all_active(&before));
+    assert!(!plan.is_empty());
+    for (slot, set) in plan {
+        assert_eq!(set.previous, before[&slot].guards);
+        assert_eq!((set.previous_epoch, set.lost_at), (0, Some(NOW)));
+    }
+}
