feat(stand-ins): run moves through versions and faults in virtual time

Cause: the decisions on moves need a fast loop that shows what they do. Change: moves_lab (12 nodes, 4 routes, 100 ms ticks, an ideal observer that tells when badness shows) and the example moves; rules for edits removed from trefoillock-moves, the store has them. Conclusion: thin routes, full-share detection and crashes come next.

--- a/trefoillock-moves/src/lib.rs
+++ b/trefoillock-moves/src/lib.rs
@@ -1,4 +1,4 @@
-//! Decisions on moves: the pace of a move, the judge of versions and the rules for edits.
+//! Decisions on moves: the pace of a move and the judge of versions.
 //!
 //! This package stands above `trefoillock-core`. It is pure: evidence and the present time go
 //! in, steps of moves come out. The leader of the control replicas holds a [`MoveController`];
@@ -21,7 +21,6 @@
 mod local_judge;
 mod node_report;
 mod plan;
-mod rules;
 mod servers;
 mod track;
 
@@ -30,4 +29,3 @@
 pub use judge::{Judge, Verdict};
 pub use local_judge::{CallResult, LocalJudge};
 pub use node_report::NodeReport;
-pub use rules::{MovesOfEdit, cancel_step, moves_of_edit, start_move};
--- a/trefoillock-moves/tests/bench/mod.rs
+++ b/trefoillock-moves/tests/bench/mod.rs
@@ -4,10 +4,10 @@
 
 use trefoillock_core::{
     Announcement, DataCentre, Evidence, Incarnation, Member, MemberState, Members, Move,
-    MoveEvidence, MoveId, NodeId, PoolEvidence, PoolName, RawTables, RouteName, ServerId,
-    ServiceName, Share, Tables, Timestamp, VersionLabel,
+    MoveEvidence, MoveId, MoveState, NodeId, PoolEvidence, PoolName, RawTables, RouteName,
+    ServerId, ServiceName, Share, Tables, Timestamp, VersionLabel,
 };
-use trefoillock_moves::{MoveController, NodeReport, start_move};
+use trefoillock_moves::{MoveController, NodeReport};
 
 const TABLES: &str = r#"{
   "routes": [{ "name": "positions", "match": { "path_prefix": "/positions" },
@@ -35,11 +35,21 @@
         let raw = RawTables::from_json(TABLES).expect("valid JSON");
         let now = Timestamp::from_secs(1_000);
         let name = |text| PoolName::try_from(text).expect("valid name");
-        let pools = (&name("desk-v1"), &name("desk-v2"));
-        let route = RouteName::try_from("positions").expect("valid name");
-        let deadline = Some(now + Duration::from_secs(deadline_s));
+        let action = Move {
+            id: MoveId::new(1),
+            route: RouteName::try_from("positions").expect("valid name"),
+            from: name("desk-v1"),
+            to: name("desk-v2"),
+            deadline: now + Duration::from_secs(deadline_s),
+            started: now,
+            state: MoveState::WaitingForServers,
+            share: Share::ZERO,
+            step: 0,
+            stepped: now,
+            evidence: String::new(),
+        };
         Self {
-            action: start_move(now, MoveId::new(1), &route, pools, deadline).expect("valid move"),
+            action,
             highest: Share::ZERO,
             lose_evidence: false,
             reporting: 6,
--- /dev/null
+++ b/trefoillock-stand-ins/examples/moves.rs
@@ -0,0 +1,222 @@
+//! Measures moves under versions, faults, call rates and deadlines, ours beside the naive
+//! version on the same seeds.
+//!
+//! `cargo run --release --example moves -- [--json] [--runs N] [--threads N] [--only WORD]`
+
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    thread,
+    time::Duration,
+};
+
+use serde_json::json;
+use trefoillock_stand_ins::moves_lab::{
+    Controller, Fault, Scenario, Tally, Version, quantile, run,
+};
+
+/// Runs of each cell unless stated.
+const RUNS: u64 = 20;
+/// Threads unless stated; the machine is shared.
+const THREADS: usize = 3;
+/// Deadlines, in seconds.
+const DEADLINES: [u64; 3] = [60, 300, 1_800];
+/// Calls of each route a second.
+const RATES: [u32; 3] = [1, 20, 100];
+
+/// A cell of the matrix.
+#[derive(Clone, Copy)]
+struct Cell {
+    version: Version,
+    fault: Fault,
+    rate: u32,
+    deadline: u64,
+}
+
+impl Cell {
+    fn name(&self) -> String {
+        format!(
+            "{:?}/{:?}/{}cps/{}s",
+            self.version, self.fault, self.rate, self.deadline
+        )
+    }
+
+    fn tally(&self, runs: u64, controller: Controller) -> Tally {
+        let mut tally = Tally::default();
+        for seed in 0..runs {
+            let scenario = Scenario {
+                version: self.version,
+                fault: self.fault,
+                rate: self.rate,
+                deadline: Duration::from_secs(self.deadline),
+                seed,
+            };
+            tally.add(&run(&scenario, controller));
+        }
+        tally
+    }
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let mut args = pico_args::Arguments::from_env();
+    let is_json = args.contains("--json");
+    let runs = args.opt_value_from_str("--runs")?.unwrap_or(RUNS);
+    let threads = args.opt_value_from_str("--threads")?.unwrap_or(THREADS);
+    let only: Option<String> = args.opt_value_from_str("--only")?;
+    let cells: Vec<Cell> = cells()
+        .into_iter()
+        .filter(|cell| only.as_ref().is_none_or(|word| cell.name().contains(word)))
+        .collect();
+    let results = measure(&cells, runs, threads);
+    if is_json {
+        print_json(&cells, &results);
+    } else {
+        print_table(&cells, &results);
+    }
+    Ok(())
+}
+
+/// Good versions under every fault, bad versions alone and under every fault.
+fn cells() -> Vec<Cell> {
+    let mut cells = Vec::new();
+    for deadline in DEADLINES {
+        for rate in RATES {
+            for fault in Fault::ALL {
+                let versions = [Version::Good].into_iter().chain(Version::BAD);
+                cells.extend(versions.map(|version| Cell {
+                    version,
+                    fault,
+                    rate,
+                    deadline,
+                }));
+            }
+            cells.push(Cell {
+                version: Version::GoodWithBadHealth,
+                fault: Fault::None,
+                rate,
+                deadline,
+            });
+        }
+    }
+    cells
+}
+
+/// Runs all cells on some threads and returns ours and the naive tally of each.
+fn measure(cells: &[Cell], runs: u64, threads: usize) -> Vec<(Tally, Tally)> {
+    let next = AtomicUsize::new(0);
+    let work = || {
+        let mut done = Vec::new();
+        loop {
+            let at = next.fetch_add(1, Ordering::Relaxed);
+            let Some(cell) = cells.get(at) else {
+                return done;
+            };
+            let ours = cell.tally(runs, Controller::Ours);
+            let naive = cell.tally(runs.min(3), Controller::Naive);
+            done.push((at, (ours, naive)));
+        }
+    };
+    let mut results: Vec<_> = thread::scope(|scope| {
+        let workers: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        let joined = workers.into_iter().filter_map(|worker| worker.join().ok());
+        joined.flatten().collect()
+    });
+    results.sort_by_key(|(at, _)| *at);
+    results.into_iter().map(|(_, tallies)| tallies).collect()
+}
+
+/// The targets that our side of a cell missed.
+fn misses(cell: &Cell, tally: &Tally) -> Vec<&'static str> {
+    if cell.version.is_bad() {
+        return tally.bad_misses(cell.version.is_bad_at_once());
+    }
+    let checks = [
+        (tally.done_in_time == tally.runs, "done in time"),
+        (tally.judged_bad == 0, "judged bad"),
+    ];
+    let missed = checks.into_iter().filter(|(is_met, _)| !is_met);
+    missed.map(|(_, name)| name).collect()
+}
+
+fn print_table(cells: &[Cell], results: &[(Tally, Tally)]) {
+    let mut missed_cells = 0;
+    for (cell, (ours, naive)) in cells.iter().zip(results) {
+        let missed = misses(cell, ours);
+        missed_cells += usize::from(!missed.is_empty());
+        let verdict = if missed.is_empty() {
+            "ok".to_owned()
+        } else {
+            format!("MISS: {}", missed.join(", "))
+        };
+        println!("{:<52} ours  {}  {verdict}", cell.name(), line(cell, ours));
+        println!("{:<52} naive {}", "", line(cell, naive));
+    }
+    println!("{missed_cells} of {} cells miss a target", cells.len());
+    print_sum(cells, results);
+}
+
+fn line(cell: &Cell, tally: &Tally) -> String {
+    let runs = tally.runs;
+    if cell.version.is_bad() {
+        return format!(
+            "taken back {:>3}/{runs} shown {:>3}/{runs} share {:>6.3}% zero p50 {:>5.1} s max {:>5.1} s postings/run {:>6.1}",
+            tally.bad_taken_back,
+            tally.shown,
+            tally.bad_share() * 100.0,
+            quantile(&tally.zero_seconds, 0.5),
+            quantile(&tally.zero_seconds, 1.0),
+            per_run(tally.bad_postings, runs),
+        );
+    }
+    format!(
+        "done in time {:>3}/{runs} judged bad {:>3}/{runs} time p50 {:>4.0}% max {:>4.0}%",
+        tally.done_in_time,
+        tally.judged_bad,
+        quantile(&tally.parts_of_deadline, 0.5) * 100.0,
+        quantile(&tally.parts_of_deadline, 1.0) * 100.0,
+    )
+}
+
+#[expect(clippy::cast_precision_loss)]
+fn per_run(count: u64, runs: u64) -> f64 {
+    count as f64 / runs.max(1) as f64
+}
+
+/// The four sums that the users measure, for both sides.
+fn print_sum(cells: &[Cell], results: &[(Tally, Tally)]) {
+    for (name, is_naive) in [("ours", false), ("naive", true)] {
+        let (mut good, mut bad) = (Tally::default(), Tally::default());
+        for (cell, (ours, naive)) in cells.iter().zip(results) {
+            let tally = if is_naive { naive } else { ours };
+            let sum = if cell.version.is_bad() {
+                &mut bad
+            } else {
+                &mut good
+            };
+            sum.merge(tally);
+        }
+        println!(
+            "{name}: good done in time {}/{}, good judged bad {}/{}; bad taken back {}/{}, share of calls {:.3}%, time to zero p50 {:.1} s p99 {:.1} s, postings {}",
+            good.done_in_time,
+            good.runs,
+            good.judged_bad,
+            good.runs,
+            bad.bad_taken_back,
+            bad.runs,
+            bad.bad_share() * 100.0,
+            quantile(&bad.zero_seconds, 0.5),
+            quantile(&bad.zero_seconds, 0.99),
+            bad.bad_postings,
+        );
+    }
+}
+
+fn print_json(cells: &[Cell], results: &[(Tally, Tally)]) {
+    let rows: Vec<_> = cells
+        .iter()
+        .zip(results)
+        .map(|(cell, (ours, naive))| {
+            json!({ "cell": cell.name(), "missed": misses(cell, ours), "ours": ours, "naive": naive })
+        })
+        .collect();
+    println!("{}", json!(rows));
+}
--- a/trefoillock-stand-ins/src/lib.rs
+++ b/trefoillock-stand-ins/src/lib.rs
@@ -1,1 +1,2 @@
 //! Placeholder.
+pub mod moves_lab;
--- /dev/null
+++ b/trefoillock-stand-ins/src/moves_lab/weather.rs
@@ -0,0 +1,122 @@
+//! When each fault strikes.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use super::{
+    members::NODES,
+    sampling::happens,
+    scenario::{Fault, Scenario},
+};
+
+/// How long a data centre or the region is cut off.
+const CUT: Duration = Duration::from_mins(1);
+/// The nodes of one data centre.
+const NODES_PER_CENTRE: usize = 4;
+/// The time between two restarts of a node that restarts in a loop.
+const RESTART_PERIOD: Duration = Duration::from_secs(10);
+/// The time that a restart takes.
+const RESTART: Duration = Duration::from_secs(3);
+/// The time for which new backend servers are cold.
+const COLD: f64 = 20.0;
+
+/// The faults of one run.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Weather {
+    fault: Fault,
+    deadline: Duration,
+}
+
+impl Weather {
+    pub(crate) const fn new(scenario: &Scenario) -> Self {
+        Self {
+            fault: scenario.fault,
+            deadline: scenario.deadline,
+        }
+    }
+
+    /// Whether a node cannot reach control.
+    pub(crate) fn is_cut_off(&self, since_start: Duration, node: usize) -> bool {
+        let from = self.deadline / 5;
+        let is_time = since_start >= from && since_start < from + CUT;
+        match self.fault {
+            Fault::DataCentreCut => is_time && node < NODES_PER_CENTRE,
+            Fault::RegionCut => is_time && node < NODES,
+            _ => false,
+        }
+    }
+
+    /// Whether a node is restarting.
+    pub(crate) fn is_restarting(&self, since_start: Duration, node: usize) -> bool {
+        let phase = since_start.as_millis() % RESTART_PERIOD.as_millis();
+        self.fault == Fault::NodeRestarts && node == 0 && phase < RESTART.as_millis()
+    }
+
+    /// Whether the calls in flight at a node are lost at this tick.
+    pub(crate) fn loses_calls(&self, since_start: Duration) -> bool {
+        let phase = since_start.as_millis() % RESTART_PERIOD.as_millis();
+        self.fault == Fault::NodeRestarts && phase == 0
+    }
+
+    /// When a new backend server arrives, counted from the start of the move.
+    pub(crate) fn arrival(&self, server: usize) -> Duration {
+        let first = Duration::from_secs(1);
+        match self.fault {
+            Fault::OneByOne => first + self.deadline / 30 * u32::try_from(server).unwrap_or(0),
+            _ => first,
+        }
+    }
+
+    /// By how much a new backend server is slower than at rest, by its age.
+    pub(crate) fn slowness(&self, server: usize, age: Duration) -> f64 {
+        let cold = 1.0 + 3.0 * (1.0 - age.as_secs_f64() / COLD).max(0.0);
+        match self.fault {
+            Fault::ColdStart | Fault::OneByOne => cold,
+            Fault::LyingLoadReports if server == 0 => 1.5,
+            _ => 1.0,
+        }
+    }
+
+    /// The new backend server that takes a call.
+    pub(crate) fn pick_server(&self, rng: &mut Pcg64Mcg, up: &[usize]) -> usize {
+        if self.fault == Fault::LyingLoadReports && happens(rng, 0.2) {
+            return up[0];
+        }
+        up[rng.random_range(0..up.len())]
+    }
+
+    /// The load of the old pool while it still carries a part of the calls.
+    pub(crate) fn old_load(&self, part: f64) -> f64 {
+        match self.fault {
+            Fault::OldOverloaded => 1.3 * part,
+            _ => 0.6 * part,
+        }
+    }
+
+    /// Whether a request that crashes its backend server is sent at this tick.
+    pub(crate) fn sends_poison(&self, since_start: Duration) -> bool {
+        let period = self.deadline.as_millis() / 3;
+        let phase = since_start.as_millis() % period;
+        self.fault == Fault::PoisonRequest && matches!(phase, 5_000 | 6_000 | 7_000 | 8_000)
+    }
+
+    /// Whether a report is lost on the way.
+    pub(crate) fn loses_report(&self, rng: &mut Pcg64Mcg) -> bool {
+        self.fault == Fault::EvidenceLost && happens(rng, 0.2)
+    }
+
+    /// The time that a report takes to control, in ticks.
+    pub(crate) fn report_delay(&self, rng: &mut Pcg64Mcg) -> u64 {
+        if self.fault == Fault::EvidenceLost && happens(rng, 0.2) {
+            return 20;
+        }
+        rng.random_range(1..=3)
+    }
+
+    /// Whether each step is followed by a change of leader.
+    pub(crate) fn changes_leader(&self) -> bool {
+        self.fault == Fault::LeaderChanges
+    }
+}
