feat(moves): judge against the old pool's history, crashes by request, whole-pool load

Cause: at a large share the old pool has too few calls for a comparison at the same time; thin routes never filled a window; servers lost to a crash overloaded the new pool; posting routes started too late; a new leader wrote steps before it had seen anything. Change: a second test against the history of the old pool (proof only if the old pool was spared at the same time), windows gathered until both pools have calls, crashes counted by distinct requests, windows with refusals left out, shares lowered to what the slots of the new pool carry, a short ladder for postings that other routes vouch for, no step for short holds.

--- a/trefoillock-moves/src/controller.rs
+++ b/trefoillock-moves/src/controller.rs
@@ -6,14 +6,15 @@
 };
 
 use trefoillock_core::{
-    Evidence, HoldReason, Members, Move, MoveEnd, MoveId, MoveState, MoveStep, PoolName,
-    RiskReason, RouteClass, Share, Tables, Timestamp,
+    CrashReport, Evidence, HoldReason, Members, Move, MoveEnd, MoveId, MoveState, MoveStep,
+    PoolName, RiskReason, RouteClass, Share, Tables, Timestamp,
 };
 
 use crate::{
-    judge::{Judge, Verdict},
+    judge::{Verdict, Window},
     node_report::NodeReport,
     plan::{MIN_DWELL, Next, Plan},
+    pool_judge::PoolJudge,
     servers::{PoolServers, ServerWatch},
     track::Track,
 };
@@ -21,7 +22,11 @@
 /// The part of the new pool's slots that may be busy.
 const MAX_BUSY: f64 = 0.85;
 /// The share from which a route has proved the version for the postings of its service.
-const PROVEN: f64 = 0.3;
+const PROVEN: f64 = 0.15;
+/// Crash reports that are kept between two decisions.
+const MAX_CRASHES: usize = 1_000;
+/// The longest hold that is not told as a step of its own.
+const BRIEF_HOLD: Duration = Duration::from_secs(3);
 /// By how much the earliest time must change to be reported again.
 const EARLIEST_CHANGE: Duration = Duration::from_secs(30);
 
@@ -32,7 +37,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct MoveController {
     tracks: BTreeMap<MoveId, Track>,
-    pools: BTreeMap<PoolName, Judge>,
+    pools: BTreeMap<PoolName, PoolJudge>,
+    crashes: Vec<CrashReport>,
     servers: ServerWatch,
 }
 
@@ -44,15 +50,18 @@
     track: &'a Track,
     verdict: Verdict,
     servers: PoolServers,
-    /// Calls in flight of all routes that move to the same pool, at the next share.
     report: NodeReport,
+    /// Slots that the other moves to the same pool keep busy.
+    busy_of_others: f64,
     siblings: Siblings,
 }
 
 /// How the other routes fare that move to the same pool and are no postings.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Siblings {
-    /// There are none, or all have proved the version.
+    /// There are none.
+    None,
+    /// All have proved the version.
     Proven,
     /// At least one has not proved it yet.
     Unproven,
@@ -81,6 +90,14 @@
         }
     }
 
+    /// Takes in a crash of a backend server with the request that it was running. Reports of the
+    /// same request may come more than once.
+    pub fn observe_crash(&mut self, crash: &CrashReport) {
+        if self.crashes.len() < MAX_CRASHES {
+            self.crashes.push(crash.clone());
+        }
+    }
+
     /// Decides on all moves: at most one step for each move that has not ended.
     ///
     /// `moves` holds the moves that have not ended and, if known, those that ended of late.
@@ -115,6 +132,7 @@
                 servers: self.servers_of(now, action, tables, members),
                 report,
                 siblings: siblings(action, &moves, tables),
+                busy_of_others: self.busy_of_others(action, &active),
             };
             steps.extend(scene.step());
         }
@@ -127,15 +145,35 @@
         self.tracks.retain(|id, _| ids.contains(id));
         let targets: BTreeSet<&PoolName> = active.iter().map(|action| &action.to).collect();
         self.pools.retain(|pool, _| targets.contains(pool));
+        let mut windows: BTreeMap<&PoolName, Vec<Window>> = BTreeMap::new();
         for action in active {
             let is_cold = self.servers_of(now, action, tables, members).is_cold();
             let track = self.tracks.entry(action.id).or_default();
             track.sync(action);
-            let windows = track.drain(now, is_cold);
-            self.pools
-                .entry(action.to.clone())
-                .or_default()
-                .add_windows(&windows);
+            let drained = track.drain(now, is_cold);
+            windows.entry(&action.to).or_default().extend(drained);
+        }
+        self.take_in_crashes(active, tables);
+        for (pool, windows) in windows {
+            let judge = self.pools.entry(pool.clone()).or_default();
+            judge.add(&windows);
+        }
+    }
+
+    /// Counts each crash for the pools that its backend server belongs to.
+    fn take_in_crashes(&mut self, active: &[&Move], tables: &Tables) {
+        for crash in std::mem::take(&mut self.crashes) {
+            for action in active {
+                let is_in = |name| {
+                    let pool = tables.pools().get(name);
+                    pool.is_some_and(|pool| self.servers.is_in(&crash.server, pool))
+                };
+                let (is_old, is_new) = (is_in(&action.from), is_in(&action.to));
+                if is_old || is_new {
+                    let judge = self.pools.entry(action.to.clone()).or_default();
+                    judge.crash(crash.fingerprint, is_new);
+                }
+            }
         }
     }
 
@@ -149,22 +187,37 @@
             })
             .collect();
         for (action, verdict) in active.iter().zip(&own) {
-            if matches!(verdict, Verdict::Bad(_)) {
-                self.pools.remove(&action.to);
+            if matches!(verdict, Verdict::Bad(_))
+                && let Some(pool) = self.pools.get_mut(&action.to)
+            {
+                pool.restart();
             }
         }
         let with_pool = |(action, verdict): (&&Move, Verdict)| {
-            let pool = self.pools.get(&action.to).map(Judge::verdict);
+            let pool = self.pools.get(&action.to);
+            let pool = pool.map_or(Verdict::Clear, PoolJudge::verdict);
             match (verdict, pool) {
-                (Verdict::Bad(end), _) | (_, Some(Verdict::Bad(end))) => Verdict::Bad(end),
+                (Verdict::Bad(end), _) | (_, Verdict::Bad(end)) => Verdict::Bad(end),
                 (Verdict::Suspect, _) => Verdict::Suspect,
-                (_, Some(Verdict::Suspect)) => Verdict::Doubtful,
+                (_, Verdict::Suspect | Verdict::Doubtful) => Verdict::Doubtful,
                 (verdict, _) => verdict,
             }
         };
         active.iter().zip(own).map(with_pool).collect()
     }
 
+    /// The slots of the new pool that other moves keep busy at their present shares.
+    fn busy_of_others(&self, action: &Move, active: &[&Move]) -> f64 {
+        let others = active
+            .iter()
+            .filter(|other| other.to == action.to && other.id != action.id);
+        let busy = others.filter_map(|other| {
+            let track = self.tracks.get(&other.id)?;
+            Some(track.busy() * other.share.fraction())
+        });
+        busy.sum()
+    }
+
     fn servers_of(
         &self,
         now: Timestamp,
@@ -219,7 +272,8 @@
         if self.now >= self.action.deadline {
             return taken_back(MoveEnd::DeadlinePassed);
         }
-        let plan = Plan::new(self.action, self.class, self.track.rate());
+        let is_vouched = self.siblings == Siblings::Proven;
+        let plan = Plan::new(self.action, self.class, is_vouched, self.track.rate());
         if self.servers.is_empty() {
             return self.without_servers(&plan);
         }
@@ -227,7 +281,15 @@
             let share = self.action.share.min(plan.canary());
             return self.at_share(&plan, share, Some(HoldReason::Suspicion));
         }
+        if self.busy_of_others + self.busy(self.action.share) > self.slots() {
+            let share = self.affordable_share();
+            return self.at_share(&plan, share, Some(HoldReason::Capacity));
+        }
+        if !self.track.is_observed(self.now) && self.action.share > Share::ZERO {
+            return self.unchanged();
+        }
         match self.hold_reason(&plan) {
+            Some(_) if self.is_hold_brief(&plan) => self.unchanged(),
             Some(reason) => self.at_share(&plan, self.action.share, Some(reason)),
             None => self.onwards(&plan),
         }
@@ -273,7 +335,7 @@
             return Some(HoldReason::Suspicion);
         }
         let needed = plan.calls_needed(share, since, self.track.rate());
-        if !self.track.is_observed(self.now) || (self.track.calls_at_share() as f64) < needed {
+        if (self.track.calls_at_share() as f64) < needed {
             return Some(HoldReason::ThinEvidence);
         }
         if self.servers.is_all_cold() && share <= plan.canary() {
@@ -283,9 +345,40 @@
             Next::Raise(next) => next,
             Next::Done => Share::FULL,
         };
-        let is_too_small =
-            self.track.busy() * next.fraction() > f64::from(self.servers.slots) * MAX_BUSY;
-        is_too_small.then_some(HoldReason::Capacity)
+        let needed = self.busy_of_others + self.busy(next);
+        (needed > self.slots() * MAX_BUSY).then_some(HoldReason::Capacity)
+    }
+
+    /// The slots of the new pool that the route keeps busy at a share.
+    fn busy(&self, share: Share) -> f64 {
+        self.track.busy() * share.fraction()
+    }
+
+    fn slots(&self) -> f64 {
+        f64::from(self.servers.slots)
+    }
+
+    /// The share that the slots of the new pool can carry, if all routes are lowered alike.
+    fn affordable_share(&self) -> Share {
+        let busy = self.busy_of_others + self.busy(self.action.share);
+        let part = self.slots() * MAX_BUSY / busy;
+        Share::from_fraction(self.action.share.fraction() * part.min(1.0))
+    }
+
+    /// Whether a hold is so short that it is not worth a step.
+    fn is_hold_brief(&self, plan: &Plan) -> bool {
+        let since = self.track.share_since();
+        let dwell = plan.dwell(self.action.share, since);
+        let is_unheld = matches!(self.action.state, MoveState::Canary | MoveState::Ramping);
+        is_unheld && self.now.since(since) < dwell + BRIEF_HOLD
+    }
+
+    /// No step.
+    const fn unchanged(&self) -> Aim {
+        Aim {
+            state: self.action.state,
+            share: self.action.share,
+        }
     }
 
     /// Stays at a share, and tells whether it may be done in time.
@@ -374,8 +467,11 @@
             && other.to == action.to
             && class_of(other, tables) != RouteClass::Posting
     });
-    let mut result = Siblings::Proven;
+    let mut result = Siblings::None;
     for other in others {
+        if result == Siblings::None {
+            result = Siblings::Proven;
+        }
         match other.state {
             MoveState::TakenBack { end } => {
                 let is_of_version = !matches!(end, MoveEnd::Cancelled | MoveEnd::DeadlinePassed);
--- a/trefoillock-moves/src/lib.rs
+++ b/trefoillock-moves/src/lib.rs
@@ -15,17 +15,23 @@
 //! assert!(steps.is_empty());
 //! ```
 
+mod baseline;
 mod comparison;
 mod controller;
+mod evidence_test;
 mod judge;
 mod local_judge;
+mod mixture;
 mod node_report;
 mod plan;
+mod pool_judge;
+mod sample;
 mod servers;
 mod track;
 
-pub use comparison::{Comparison, Sample};
+pub use comparison::Comparison;
 pub use controller::MoveController;
 pub use judge::{Judge, Verdict};
 pub use local_judge::{CallResult, LocalJudge};
 pub use node_report::NodeReport;
+pub use sample::Sample;
--- a/trefoillock-moves/src/local_judge.rs
+++ b/trefoillock-moves/src/local_judge.rs
@@ -4,7 +4,7 @@
 
 use trefoillock_core::{Config, Evidence, MoveEvidence, MoveId, PoolEvidence, Timestamp};
 
-use crate::comparison::{Comparison, Sample};
+use crate::{comparison::Comparison, sample::Sample};
 
 /// The probability that a node ever cuts a good version.
 const FALSE_CUT: f64 = 1e-7;
--- a/trefoillock-moves/src/plan.rs
+++ b/trefoillock-moves/src/plan.rs
@@ -8,9 +8,9 @@
 pub(crate) const MIN_DWELL: Duration = Duration::from_secs(2);
 /// The part of the time between start and deadline within which a move shall be done, in
 /// percent.
-const TARGET_PERCENT: u32 = 75;
+const TARGET_PERCENT: u32 = 70;
 /// The latest part of that time at which a delayed move may plan to be done, in percent.
-const LATEST_PERCENT: u32 = 92;
+const LATEST_PERCENT: u32 = 88;
 /// New calls that a stage needs before the next one, if the route has as many.
 const STAGE_CALLS: f64 = 200.0;
 /// The part of the calls expected in a stage that must have been seen if the route is too thin
@@ -43,7 +43,16 @@
     stage(0.9, 14.0),
 ];
 
-/// The stages of postings.
+/// The stages of postings after other routes have proved the version.
+const VOUCHED_STAGES: [Stage; 5] = [
+    stage(0.01, 25.0),
+    stage(0.05, 20.0),
+    stage(0.2, 15.0),
+    stage(0.5, 15.0),
+    stage(0.9, 25.0),
+];
+
+/// The stages of postings that no other route has proved the version for.
 const POSTING_STAGES: [Stage; 7] = [
     stage(0.002, 35.0),
     stage(0.01, 20.0),
@@ -74,8 +83,10 @@
 
 impl Plan {
     /// Creates the plan of a move of a route with a class and a number of calls a second.
-    pub(crate) fn new(action: &Move, class: RouteClass, rate: f64) -> Self {
+    /// A posting route is vouched for if other routes have proved the version.
+    pub(crate) fn new(action: &Move, class: RouteClass, is_vouched: bool, rate: f64) -> Self {
         let stages: &[Stage] = match class {
+            RouteClass::Posting if is_vouched => &VOUCHED_STAGES,
             RouteClass::Posting => &POSTING_STAGES,
             RouteClass::Lookup | RouteClass::Export | RouteClass::Background => &STAGES,
         };
--- a/trefoillock-moves/src/servers.rs
+++ b/trefoillock-moves/src/servers.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use trefoillock_core::{Incarnation, Member, Members, Pool, ServerId, Timestamp};
+use trefoillock_core::{
+    Incarnation, Member, Members, Pool, ServerId, ServiceName, Timestamp, VersionLabel,
+};
 
 /// The shortest time for which a backend server that appears counts as cold.
 const MIN_COLD: Duration = Duration::from_secs(20);
@@ -10,11 +12,29 @@
 /// percent.
 const COLD_PERCENT: u32 = 20;
 
+/// The time for which a backend server that has gone is remembered.
+const FORGET: Duration = Duration::from_mins(2);
+
 /// A backend server that was seen to take work.
 #[derive(Debug, Clone)]
 struct Seen {
     incarnation: Incarnation,
     since: Timestamp,
+    last: Timestamp,
+    service: ServiceName,
+    version: VersionLabel,
+}
+
+impl Seen {
+    fn new(now: Timestamp, member: &Member) -> Self {
+        Self {
+            incarnation: member.announcement.incarnation,
+            since: now,
+            last: now,
+            service: member.announcement.service.clone(),
+            version: member.announcement.version.clone(),
+        }
+    }
 }
 
 /// What a pool can carry.
@@ -52,22 +72,23 @@
 impl ServerWatch {
     /// Takes in the present list of members.
     pub(crate) fn sync(&mut self, now: Timestamp, members: &Members) {
-        self.seen.retain(|id, _| members.servers.contains_key(id));
+        self.seen.retain(|_, seen| now.since(seen.last) < FORGET);
         for (id, member) in &members.servers {
-            let incarnation = member.announcement.incarnation;
-            let seen = self.seen.entry(id.clone()).or_insert(Seen {
-                incarnation,
-                since: now,
-            });
-            if seen.incarnation != incarnation {
-                *seen = Seen {
-                    incarnation,
-                    since: now,
-                };
+            let seen = self.seen.entry(id.clone());
+            let seen = seen.or_insert_with(|| Seen::new(now, member));
+            if seen.incarnation != member.announcement.incarnation {
+                *seen = Seen::new(now, member);
             }
+            seen.last = now;
         }
     }
 
+    /// Whether a backend server belongs, or belonged of late, to a pool.
+    pub(crate) fn is_in(&self, server: &ServerId, pool: &Pool) -> bool {
+        let seen = self.seen.get(server);
+        seen.is_some_and(|seen| seen.service == pool.service && seen.version == pool.version)
+    }
+
     /// The backend servers of a pool that take work.
     pub(crate) fn of_pool(&self, now: Timestamp, members: &Members, pool: &Pool) -> PoolServers {
         let cold = Duration::from_secs(u64::from(pool.policy.slow_start_s) * 2).max(MIN_COLD);
--- a/trefoillock-moves/src/track.rs
+++ b/trefoillock-moves/src/track.rs
@@ -4,7 +4,7 @@
 
 use trefoillock_core::{LatencySketch, Move, MoveEvidence, Share, Timestamp};
 
-use crate::judge::{Judge, Window};
+use crate::judge::{Judge, RouteHistory, Window};
 
 /// The time over which the rate of calls is averaged.
 const RATE_SPAN: Duration = Duration::from_secs(15);
@@ -14,6 +14,10 @@
 const MISSING_CALLS: f64 = 10.0;
 /// The shortest time of own observation on which a leader raises a share.
 const MIN_OBSERVED: Duration = Duration::from_secs(2);
+/// Calls of both pools that fill a window.
+const WINDOW_CALLS: u64 = 10;
+/// The time after which a window is full with fewer calls.
+const WINDOW_SPAN: Duration = Duration::from_secs(3);
 /// The largest time that one report counts for.
 const MAX_GAP: Duration = Duration::from_secs(10);
 
@@ -21,6 +25,10 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Track {
     pub(crate) judge: Judge,
+    history: RouteHistory,
+    /// Evidence that is not yet enough for a window.
+    gathered: MoveEvidence,
+    gathered_since: Option<Timestamp>,
     pending: Vec<MoveEvidence>,
     /// The share and the first step that had it.
     share: Option<(Share, u32)>,
@@ -65,13 +73,35 @@
         }
         let mut windows = Vec::with_capacity(pending.len());
         for evidence in &pending {
-            let window = self.judge.window(evidence, is_cold);
-            self.judge.add_windows(std::slice::from_ref(&window));
-            windows.push(window);
+            self.gather(now, evidence);
+            if self.is_window_full(now) {
+                let gathered = std::mem::take(&mut self.gathered);
+                self.gathered_since = None;
+                let window = self.history.window(&gathered, is_cold);
+                self.judge.add(std::slice::from_ref(&window));
+                windows.push(window);
+            }
         }
         windows
     }
 
+    /// Adds the counts of a report to those of the open window.
+    fn gather(&mut self, now: Timestamp, evidence: &MoveEvidence) {
+        self.gathered.old.merge(&evidence.old);
+        self.gathered.new.merge(&evidence.new);
+        self.gathered_since.get_or_insert(now);
+    }
+
+    /// Whether the open window can be compared. The rule looks at numbers of calls and at time
+    /// only, never at how calls ended.
+    fn is_window_full(&self, now: Timestamp) -> bool {
+        let (old, new) = (self.gathered.old.calls, self.gathered.new.calls);
+        let age = self
+            .gathered_since
+            .map_or(Duration::ZERO, |since| now.since(since));
+        old > 0 && new > 0 && (old + new >= WINDOW_CALLS || age >= WINDOW_SPAN)
+    }
+
     /// When the present share was set.
     pub(crate) const fn share_since(&self) -> Timestamp {
         self.share_since
--- a/trefoillock-stand-ins/src/moves_lab/cluster.rs
+++ b/trefoillock-stand-ins/src/moves_lab/cluster.rs
@@ -4,7 +4,10 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use trefoillock_core::{Evidence, Members, Move, MoveId, MoveState, Share, Tables, Timestamp};
+use trefoillock_core::{
+    CrashReport, Evidence, Fingerprint, Incarnation, Members, Move, MoveId, MoveState, Share,
+    Tables, Timestamp,
+};
 use trefoillock_moves::{CallResult, LocalJudge, MoveController, NodeReport};
 
 use super::{
@@ -291,12 +294,30 @@
             }
         }
         if is_poison || call.result == CallResult::Crashed {
+            self.report_crash(server, is_poison);
             self.servers[server].down_until = self.tick + CRASH_TICKS;
             return CallResult::Crashed;
         }
         call.result
     }
 
+    /// Tells control of a crash. A poison request has the same fingerprint at each send.
+    fn report_crash(&mut self, server: usize, is_poison: bool) {
+        let fingerprint = if is_poison {
+            u64::from(self.weather.poison_number(self.since_start()))
+        } else {
+            self.rng.random()
+        };
+        let up = [(server, self.servers[server].run)];
+        for id in members(&self.scenario, &up).servers.into_keys() {
+            self.decider.observe_crash(&CrashReport {
+                fingerprint: Fingerprint::new(fingerprint),
+                server: id,
+                incarnation: Incarnation::new(self.servers[server].run),
+            });
+        }
+    }
+
     /// The node is down: calls are refused, but for those that were in flight when it went.
     fn call_to_restarting_node(&mut self) -> CallResult {
         if !self.weather.loses_calls(self.since_start()) {
@@ -363,12 +384,14 @@
         if steps.is_empty() {
             return;
         }
+        let mut has_moved = false;
         for step in steps {
             let Some(route) = self.moves.iter().position(|m| m.id == step.id) else {
                 continue;
             };
             let action = &mut self.moves[route];
             assert!(step.step == action.step + 1 && !action.state.is_final());
+            has_moved |= action.share != step.share;
             action.step = step.step;
             action.state = step.state;
             action.share = step.share;
@@ -376,7 +399,7 @@
             action.evidence = step.evidence;
             self.distribute(route);
         }
-        if self.weather.changes_leader() {
+        if has_moved && self.weather.changes_leader() {
             self.decider = MoveController::new();
             self.leader_from = self.tick + LEADER_GAP_TICKS;
         }
