--- a/trefoillock-policy/tests/guard_claim.rs
+++ b/trefoillock-policy/tests/guard_claim.rs
@@ -226,6 +226,7 @@
     guards.ask(NOW, &mut claim, &[0]);
     guards.set.epoch = 2;
     guards.set.lost_at = Some(NOW);
+    guards.set.previous = vec![guard(0)];
     for guard in &mut guards.set.guards[1..] {
         guard.incarnation = Incarnation::new(2);
     }
@@ -237,6 +238,14 @@
         *guard = newest.clone();
         keeper.sync(&table);
     }
+    for at in 1..3 {
+        for (source, request) in guards.keepers[at].1.copy_requests() {
+            let answer = guards.keepers[0].1.copy(NOW, &request);
+            let answer = answer.expect("the survivor answers");
+            guards.keepers[at].1.copied(&source, answer);
+        }
+        assert_eq!(guards.keepers[at].1.acks().len(), 1);
+    }
     claim.restart(&guards.set);
     let state = guards.ask(NOW, &mut claim, &[0, 1, 2]);
     assert_eq!(state, ClaimState::Lost(ClaimLoss::Unknown));
