--- a/trefoillock-policy/src/guard/record.rs
+++ b/trefoillock-policy/src/guard/record.rs
@@ -19,6 +19,13 @@
     pub body: Vec<u8>,
 }
 
+impl StoredAnswer {
+    /// The size in memory, without the fixed part, in bytes.
+    fn bytes(&self) -> usize {
+        self.content_type.as_ref().map_or(0, String::len) + self.body.len()
+    }
+}
+
 /// How the call of a key ended.
 #[data]
 pub enum KeyEnd {
@@ -33,6 +40,25 @@
     MayHaveRun,
 }
 
+impl KeyEnd {
+    /// The end without its answer, if the answer takes more than `room` bytes or is larger than
+    /// any that is kept.
+    pub(super) fn within(&self, room: usize) -> Self {
+        match self {
+            Self::Answered {
+                status,
+                stored: Some(stored),
+            } if stored.bytes() > room || stored.body.len() > MAX_STORED_BODY_BYTES => {
+                Self::Answered {
+                    status: *status,
+                    stored: None,
+                }
+            }
+            end => end.clone(),
+        }
+    }
+}
+
 /// The state of a key that is held by another claim.
 #[data]
 pub enum KeyState {
@@ -77,6 +103,14 @@
         self.owners.is_empty() && self.end.is_none()
     }
 
+    /// The bytes of the answer that is kept.
+    pub(super) fn stored_bytes(&self) -> usize {
+        match &self.end {
+            Some(KeyEnd::Answered { stored, .. }) => stored.as_ref().map_or(0, |s| s.bytes()),
+            _ => 0,
+        }
+    }
+
     /// Whether a call with the key was answered.
     pub(super) const fn is_answered(&self) -> bool {
         matches!(self.end, Some(KeyEnd::Answered { .. }))
--- a/trefoillock-policy/src/guard/slot_keeper.rs
+++ b/trefoillock-policy/src/guard/slot_keeper.rs
@@ -11,6 +11,9 @@
 
 /// The most keys that a guard remembers for a slot. When it is reached, new keys are refused.
 pub const MAX_KEYS_PER_SLOT: usize = 4_096;
+/// The most bytes of answers that a guard keeps for a slot. When it is reached, only the status
+/// of further answers is kept.
+const MAX_STORED_BYTES_PER_SLOT: usize = 256 * 1_024;
 /// The time between two searches for expired records.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -31,6 +34,8 @@
     /// Whether one of them was complete for the previous epoch.
     has_complete: bool,
     records: SeededMap<KeyHash, KeyRecord>,
+    /// The bytes of the answers in `records`.
+    stored_bytes: usize,
     swept_at: Timestamp,
 }
 
@@ -109,6 +114,7 @@
                 }
             }
         }
+        self.count_stored_bytes();
         self.count_source(from.clone(), answer.complete_for);
         self.activate_if_copied();
     }
@@ -197,19 +203,30 @@
             .entry(req.key)
             .or_insert_with(|| KeyRecord::new(now));
         match &req.finish {
-            Finish::Ended(end) => record.end(now, req.fingerprint, end.clone()),
+            Finish::Ended(end) => {
+                let before = record.stored_bytes();
+                let room = MAX_STORED_BYTES_PER_SLOT.saturating_sub(self.stored_bytes);
+                record.end(now, req.fingerprint, end.within(room));
+                let others = self.stored_bytes.saturating_sub(before);
+                self.stored_bytes = others + record.stored_bytes();
+            }
             Finish::Released => record.release(now, req.id),
         }
     }
 
-    /// Forgets expired records from time to time, and whenever the memory is full.
+    /// Forgets expired records from time to time.
     fn sweep(&mut self, now: Timestamp) {
         let is_due = now.since(self.swept_at) >= SWEEP_INTERVAL;
         if is_due {
             self.swept_at = now;
             self.records.retain(|_, record| !record.is_expired(now));
+            self.count_stored_bytes();
         }
     }
+
+    fn count_stored_bytes(&mut self) {
+        self.stored_bytes = self.records.values().map(KeyRecord::stored_bytes).sum();
+    }
 }
 
 /// The answer to a claim of a key that is owned or ended; `None` if it is free.
--- a/trefoillock-policy/tests/guard_claim.rs
+++ b/trefoillock-policy/tests/guard_claim.rs
@@ -8,7 +8,8 @@
 };
 use trefoillock_policy::{
     CLOCK_SKEW_MARGIN, Claim, ClaimId, ClaimLoss, ClaimState, CopyRequest, Finish, GuardKeeper,
-    KEY_WINDOW, KeyEnd, KeyHash, MAX_KEYS_PER_SLOT, uuid_v7_time,
+    KEY_WINDOW, KeyEnd, KeyHash, MAX_KEYS_PER_SLOT, MAX_STORED_BODY_BYTES, StoredAnswer,
+    uuid_v7_time,
 };
 
 const NOW: Timestamp = Timestamp::from_secs(1_000_000);
@@ -268,6 +269,39 @@
     assert!(guards.keepers.iter().all(|(_, keeper)| keeper.is_empty()));
 }
 
+#[test]
+fn answers_are_kept_and_given_again_within_a_bound() {
+    let mut guards = Guards::new(None);
+    let answered_with = |bytes| {
+        let body = vec![b'x'; bytes];
+        let stored = StoredAnswer {
+            content_type: None,
+            body,
+        };
+        Finish::Ended(KeyEnd::Answered {
+            status: 201,
+            stored: Some(Box::new(stored)),
+        })
+    };
+    let mut kept = |key, bytes| {
+        let (claim, _) = guards.claim_all(NOW, key, REQUEST);
+        guards.finish(NOW, &claim, &answered_with(bytes));
+        let (_, state) = guards.claim_all(NOW, key, REQUEST);
+        match state {
+            ClaimState::Lost(ClaimLoss::Answered {
+                status: 201,
+                stored,
+            }) => stored.map(|stored| stored.body.len()),
+            state => panic!("not answered: {state:?}"),
+        }
+    };
+    assert_eq!(kept(0, MAX_STORED_BODY_BYTES), Some(MAX_STORED_BODY_BYTES));
+    assert_eq!(kept(1, MAX_STORED_BODY_BYTES + 1), None);
+    let all: Vec<_> = (2..1_000).map(|key| kept(key, 1_000)).collect();
+    let bytes: usize = all.iter().flatten().sum();
+    assert!(bytes <= 256 * 1_024 && bytes > 250 * 1_024, "{bytes}");
+}
+
 #[test]
 fn a_full_guard_refuses_instead_of_forgetting() {
     let mut guards = Guards::new(None);
