--- a/trefoillock-stand-ins/src/backend_server/connection.rs
+++ b/trefoillock-stand-ins/src/backend_server/connection.rs
@@ -96,7 +96,8 @@
             return self.refuse().await;
         }
         self.run(head).await?;
-        if matches!(self.step(FaultStep::RequestSent).await?, Next::ServerError) {
+        let next = self.step(FaultStep::RequestSent).await?;
+        if matches!(next, Next::ServerError) || self.state.fails_by_count() {
             return self.server_error().await;
         }
         self.write_answer(head).await?;
--- a/trefoillock-stand-ins/src/backend_server/run_log.rs
+++ b/trefoillock-stand-ins/src/backend_server/run_log.rs
@@ -38,6 +38,15 @@
         runs.values().map(|count| u64::from(*count)).sum()
     }
 
+    /// The number of runs of each request.
+    #[must_use]
+    pub fn counts(&self) -> BTreeMap<String, u32> {
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
     /// The requests that ran more than once and fulfil a condition.
     #[must_use]
     pub fn doubled(&self, condition: impl Fn(&str) -> bool) -> Vec<String> {
--- a/trefoillock-stand-ins/src/backend_server/server.rs
+++ b/trefoillock-stand-ins/src/backend_server/server.rs
@@ -40,6 +40,8 @@
     pub service_time: Duration,
     /// The validator of its answers.
     pub etag: String,
+    /// Every call of this number is answered with a server error; zero means none.
+    pub fail_every: u64,
 }
 
 impl BackendServerConfig {
@@ -58,6 +60,7 @@
             connect_delay: Duration::ZERO,
             service_time: Duration::ZERO,
             etag: version.to_owned(),
+            fail_every: 0,
         })
     }
 
@@ -75,6 +78,13 @@
         self
     }
 
+    /// Answers every n-th call with a server error.
+    #[must_use]
+    pub const fn fail_every(mut self, calls: u64) -> Self {
+        self.fail_every = calls;
+        self
+    }
+
     /// Sets the number of slots and connections.
     #[must_use]
     pub const fn capacity(mut self, slots: u32, connections: u32) -> Self {
@@ -93,6 +103,7 @@
     slots: Semaphore,
     incarnation: AtomicU64,
     waited: AtomicU64,
+    calls: AtomicU64,
     run: Mutex<CancellationToken>,
 }
 
@@ -113,6 +124,13 @@
         self.slots.acquire().await.ok()
     }
 
+    /// Whether the call that has just run is one of those that fail by their number.
+    pub(crate) fn fails_by_count(&self) -> bool {
+        let every = self.config.fail_every;
+        let count = self.calls.fetch_add(1, Ordering::Relaxed) + 1;
+        every > 0 && count.is_multiple_of(every)
+    }
+
     /// Ends the present run: all connections and the listening socket close.
     pub(crate) fn crash(&self) {
         let run = self.run.lock().unwrap_or_else(PoisonError::into_inner);
@@ -144,6 +162,7 @@
             slots,
             incarnation: AtomicU64::new(1),
             waited: AtomicU64::new(0),
+            calls: AtomicU64::new(0),
             run: Mutex::new(CancellationToken::new()),
         });
         let server = Self { address, state };
--- /dev/null
+++ b/trefoillock-stand-ins/src/demo/fleet.rs
@@ -0,0 +1,292 @@
+//! All daemons and backend servers of the demonstration.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use futures::{FutureExt, future::BoxFuture};
+use trefoillock_core::{Config, ConfigVersion};
+use trefoillock_operator::OperatorClient;
+use trefoillock_platform::Settings;
+use trefoillock_rpc::Token;
+use trefoillockd::{Observer, bootstrap};
+
+use super::{announcer::Announcer, plan::Plan, process::Process};
+use crate::backend_server::{BackendServer, BackendServerConfig, RunLog};
+
+/// The number of control replicas.
+const REPLICAS: usize = 3;
+/// The time that a stand-in backend server takes to open a connection.
+const CONNECT_DELAY: Duration = Duration::from_millis(1);
+/// The time that a stand-in backend server runs a call.
+const SERVICE_TIME: Duration = Duration::from_millis(2);
+
+/// A stand-in backend server with its own log of runs.
+pub(crate) struct Server {
+    pub(crate) process: Arc<BackendServer>,
+    pub(crate) log: RunLog,
+    pub(crate) announcer: Announcer,
+}
+
+/// The observers of the running nodes by name.
+pub(crate) type Observers = Arc<Mutex<BTreeMap<String, Observer>>>;
+
+/// All daemons and backend servers.
+pub(crate) struct Fleet {
+    pub(crate) controls: Vec<Option<Process>>,
+    pub(crate) nodes: Vec<Option<Process>>,
+    pub(crate) servers: BTreeMap<(String, String), Vec<Server>>,
+    pub(crate) observers: Observers,
+    pub(crate) client: Arc<OperatorClient>,
+    plan: Plan,
+    node_settings: Vec<Settings>,
+    bytes_of_ended: u64,
+}
+
+impl Fleet {
+    /// Starts the control replicas and the nodes from the settings in a folder. The data folders
+    /// go below `data`.
+    pub(crate) async fn start(plan: Plan, settings: &Path, data: &Path) -> io::Result<Self> {
+        let folder = settings.join(plan.name);
+        let mut controls = Vec::new();
+        let mut operators = Vec::new();
+        for at in 1..=REPLICAS {
+            let mut settings = load(&folder.join(format!("control-{at}.json")))?;
+            if let Some(control) = &mut settings.control {
+                control.data_folder = data.join(format!("control-{at}"));
+                operators.push(control.operators);
+            }
+            bootstrap(&settings).map_err(io::Error::other)?;
+            controls.push(Some(Process::start(settings).await?));
+        }
+        let count = plan.services.iter().map(|(_, count)| count).sum::<usize>();
+        let mut fleet = Self {
+            controls,
+            nodes: Vec::new(),
+            servers: BTreeMap::new(),
+            observers: Observers::default(),
+            client: Arc::new(OperatorClient::new(operators, Token::none())),
+            plan,
+            node_settings: Vec::new(),
+            bytes_of_ended: 0,
+        };
+        for at in 1..=count {
+            let settings = load(&folder.join(format!("node-{at:02}.json")))?;
+            fleet.node_settings.push(settings.clone());
+            let process = Process::start(settings).await?;
+            fleet.observe(&process);
+            fleet.nodes.push(Some(process));
+        }
+        Ok(fleet)
+    }
+
+    fn observe(&self, process: &Process) {
+        let name = process.settings().name.to_string();
+        let mut observers = self
+            .observers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        observers.insert(name, process.observer());
+    }
+
+    fn forget(&mut self, process: &Process) {
+        let name = process.settings().name.to_string();
+        self.bytes_of_ended += process.observer().control_bytes_sent();
+        let mut observers = self
+            .observers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        observers.remove(&name);
+    }
+
+    /// The number of the first node beside a backend server of a service.
+    pub(crate) fn first_node(&self, service: &str) -> usize {
+        let before = self
+            .plan
+            .services
+            .iter()
+            .take_while(|(name, _)| *name != service);
+        before.map(|(_, count)| count).sum()
+    }
+
+    /// Starts the backend servers of one version of a service beside the service's nodes.
+    pub(crate) async fn start_servers(
+        &mut self,
+        service: &str,
+        version: &str,
+        fail_every: u64,
+    ) -> io::Result<()> {
+        let count = self.plan.services.iter().find(|(name, _)| *name == service);
+        let first = self.first_node(service);
+        for at in first..first + count.map_or(0, |(_, count)| *count) {
+            let log = RunLog::new();
+            let config = BackendServerConfig::new(service, version)
+                .map_err(io::Error::other)?
+                .capacity(self.plan.slots, self.plan.connections)
+                .connect_delay(CONNECT_DELAY)
+                .service_time(SERVICE_TIME)
+                .fail_every(fail_every);
+            let server = Arc::new(BackendServer::start(config, log.clone()).await?);
+            let Some(node) = self.node_settings.get(at).and_then(|s| s.node.as_ref()) else {
+                continue;
+            };
+            let announcer = Announcer::start(server.clone(), node.backend);
+            let key = (service.to_owned(), version.to_owned());
+            self.servers.entry(key).or_default().push(Server {
+                process: server,
+                log,
+                announcer,
+            });
+        }
+        Ok(())
+    }
+
+    /// The backend servers of one version of a service.
+    pub(crate) fn servers_of(&self, service: &str, version: &str) -> &[Server] {
+        let key = (service.to_owned(), version.to_owned());
+        self.servers
+            .get(&key)
+            .map(Vec::as_slice)
+            .unwrap_or_default()
+    }
+
+    /// The logs of all backend servers.
+    pub(crate) fn logs(&self) -> Vec<RunLog> {
+        self.servers
+            .values()
+            .flatten()
+            .map(|server| server.log.clone())
+            .collect()
+    }
+
+    /// The addresses of the running nodes for callers.
+    pub(crate) fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let running = self.nodes.iter().flatten();
+        running
+            .filter_map(|process| Some(process.settings().node.as_ref()?.callers))
+            .collect()
+    }
+
+    /// The configurations that the running nodes hold, by name.
+    pub(crate) fn configs(&self) -> Vec<(String, Option<Arc<Config>>)> {
+        let observers = self
+            .observers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        observers
+            .iter()
+            .map(|(name, observer)| (name.clone(), observer.config()))
+            .collect()
+    }
+
+    /// Whether every running node holds at least a version.
+    pub(crate) fn is_in_force(&self, version: ConfigVersion) -> bool {
+        let holds = |config: &Option<Arc<Config>>| {
+            config
+                .as_ref()
+                .is_some_and(|config| config.version() >= version)
+        };
+        self.configs().iter().all(|(_, config)| holds(config))
+    }
+
+    /// Whether every running node knows a number of backend servers that take new work.
+    pub(crate) fn knows_servers(&self, count: usize) -> bool {
+        let observers = self
+            .observers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        observers.values().all(|observer| {
+            let members = observer.members();
+            members.is_some_and(|m| m.servers.values().filter(|s| s.is_up()).count() >= count)
+        })
+    }
+
+    /// Kills a node.
+    pub(crate) fn kill_node(&mut self, at: usize) {
+        if let Some(process) = self.nodes[at].take() {
+            self.forget(&process);
+            process.kill();
+        }
+    }
+
+    /// Begins the graceful stop of a node. The result ends when it has stopped.
+    pub(crate) fn begin_node_stop(&mut self, at: usize) -> Option<BoxFuture<'static, Settings>> {
+        let process = self.nodes[at].take()?;
+        self.forget(&process);
+        Some(process.begin_stop().boxed())
+    }
+
+    /// Starts a node again.
+    pub(crate) async fn restart_node(&mut self, at: usize) -> io::Result<()> {
+        let process = start_again(self.node_settings[at].clone()).await?;
+        self.observe(&process);
+        self.nodes[at] = Some(process);
+        Ok(())
+    }
+
+    /// Kills the control replica that leads and returns its number and settings.
+    pub(crate) async fn kill_leader(&mut self) -> Option<(usize, Settings)> {
+        let status = self.client.status().await.ok()?;
+        let leader = status.replicas.iter().find(|replica| replica.leader)?.id;
+        let leads = |process: &Process| {
+            process
+                .settings()
+                .control
+                .as_ref()
+                .is_some_and(|control| control.id == leader)
+        };
+        let at = self
+            .controls
+            .iter()
+            .position(|process| process.as_ref().is_some_and(leads))?;
+        let process = self.controls[at].take()?;
+        self.bytes_of_ended += process.observer().control_bytes_sent();
+        Some((at, process.kill()))
+    }
+
+    /// Starts a control replica again.
+    pub(crate) async fn restart_control(
+        &mut self,
+        at: usize,
+        settings: Settings,
+    ) -> io::Result<()> {
+        self.controls[at] = Some(start_again(settings).await?);
+        Ok(())
+    }
+
+    /// The bytes of control messages that all daemons sent.
+    pub(crate) fn control_bytes(&self) -> u64 {
+        let running = self.controls.iter().chain(&self.nodes).flatten();
+        let sent = running.map(|process| process.observer().control_bytes_sent());
+        self.bytes_of_ended + sent.sum::<u64>()
+    }
+
+    /// Stops everything gracefully.
+    pub(crate) async fn stop(mut self) {
+        let nodes = self.nodes.drain(..).flatten().map(Process::begin_stop);
+        futures::future::join_all(nodes).await;
+        let controls = self.controls.drain(..).flatten().map(Process::begin_stop);
+        futures::future::join_all(controls).await;
+    }
+}
+
+fn load(file: &Path) -> io::Result<Settings> {
+    Settings::load(file).map_err(io::Error::other)
+}
+
+/// Starts a daemon whose killed forerunner may still be closing its sockets and files.
+async fn start_again(settings: Settings) -> io::Result<Process> {
+    const ATTEMPTS: u32 = 100;
+    for _ in 0..ATTEMPTS {
+        if let Ok(process) = Process::start(settings.clone()).await {
+            return Ok(process);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Process::start(settings).await
+}
--- /dev/null
+++ b/trefoillock-stand-ins/src/demo/load.rs
@@ -0,0 +1,186 @@
+//! The stand-in callers of the demonstration.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use trefoillock_core::Outcome;
+
+use super::plan::CallPlan;
+use crate::caller::{Caller, CallerRequest, Report};
+
+/// The time that a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// The share of answered postings, one in this number, that are sent again on purpose.
+const RESEND_ONE_IN: u32 = 10;
+
+/// What all callers saw.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Tally {
+    /// Calls by kind, outcome and reason.
+    pub(crate) outcomes: BTreeMap<(&'static str, &'static str, String), u64>,
+    /// Answers that were not the caller's own or not whole but looked complete.
+    pub(crate) wrong: u64,
+    /// The identities of calls whose only sends were refused as did-not-run.
+    pub(crate) refused: Vec<String>,
+    /// The number of postings that were sent again.
+    pub(crate) resent: u64,
+    /// Calls by path, postings apart.
+    pub(crate) by_path: BTreeMap<(&'static str, bool), u64>,
+}
+
+/// The addresses that callers use; they change when nodes stop.
+pub(crate) type Addresses = Arc<Mutex<Vec<SocketAddr>>>;
+
+/// Callers that run until they are stopped.
+pub(crate) struct Load {
+    addresses: Addresses,
+    tally: Arc<Mutex<Tally>>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+    numbers: Arc<AtomicU64>,
+}
+
+impl Load {
+    /// Creates a load without callers.
+    pub(crate) fn new(addresses: Vec<SocketAddr>) -> Self {
+        Self {
+            addresses: Arc::new(Mutex::new(addresses)),
+            tally: Arc::default(),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            numbers: Arc::default(),
+        }
+    }
+
+    /// Replaces the addresses that callers use.
+    pub(crate) fn use_addresses(&self, addresses: Vec<SocketAddr>) {
+        *self
+            .addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = addresses;
+    }
+
+    /// Starts the callers of one path.
+    pub(crate) fn start(&self, plan: CallPlan, seed: u64) {
+        let (addresses, tally) = (self.addresses.clone(), self.tally.clone());
+        let (stop, tasks, numbers) = (self.stop.clone(), self.tasks.clone(), self.numbers.clone());
+        let pause = Duration::from_secs(1) / plan.rate.max(1);
+        self.tasks.spawn(async move {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let caller = Caller::new(PATIENCE);
+            let mut tick = tokio::time::interval(pause);
+            while stop.run_until_cancelled(tick.tick()).await.is_some() {
+                let pick = |rng: &mut Pcg64Mcg| {
+                    let addresses = addresses.lock().unwrap_or_else(PoisonError::into_inner);
+                    let at = rng.random_range(0..addresses.len().max(1));
+                    addresses.get(at).copied()
+                };
+                let (Some(first), Some(second)) = (pick(&mut rng), pick(&mut rng)) else {
+                    continue;
+                };
+                let call = Call {
+                    plan,
+                    id: identity(plan, numbers.fetch_add(1, Ordering::Relaxed)),
+                    first,
+                    second,
+                    resend: plan.posting && rng.random_range(0..RESEND_ONE_IN) == 0,
+                };
+                tasks.spawn(call.make(caller.clone(), tally.clone()));
+            }
+        });
+    }
+
+    /// Stops the callers, waits for calls in flight and returns what was seen.
+    pub(crate) async fn finish(&self) -> Tally {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+        self.tally
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// The number of calls on a path so far, without postings.
+    pub(crate) fn calls_on(&self, path: &'static str) -> u64 {
+        let tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
+        tally.by_path.get(&(path, false)).copied().unwrap_or(0)
+    }
+}
+
+/// The beginning of the identities of postings.
+pub(crate) const POSTING: &str = "posting";
+
+fn identity(plan: CallPlan, number: u64) -> String {
+    let kind = if plan.posting { POSTING } else { "call" };
+    format!("{kind}-{number}")
+}
+
+/// One call of a stand-in caller.
+struct Call {
+    plan: CallPlan,
+    id: String,
+    first: SocketAddr,
+    second: SocketAddr,
+    /// Whether an answered posting is sent again, as if its answer had been lost.
+    resend: bool,
+}
+
+impl Call {
+    async fn make(self, caller: Caller, tally: Arc<Mutex<Tally>>) {
+        let req = if self.plan.posting {
+            CallerRequest::post(self.plan.path, &self.id, format!("body of {}", self.id))
+                .key(&self.id)
+        } else {
+            CallerRequest::get(self.plan.path, &self.id)
+        };
+        let first = caller.call(self.first, &req).await;
+        let lost = first.outcome == Outcome::MayHaveRun;
+        let second = if self.plan.posting && (lost || self.resend) {
+            Some(caller.call(self.second, &req).await)
+        } else {
+            None
+        };
+        let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
+        tally.count(&self, &first, second.as_ref());
+    }
+}
+
+impl Tally {
+    fn count(&mut self, call: &Call, first: &Report, second: Option<&Report>) {
+        let kind = if call.plan.posting {
+            "posting"
+        } else {
+            "other"
+        };
+        let reason = first.reason.clone().unwrap_or_else(|| match first.status {
+            None => "no-answer".to_owned(),
+            Some(status) if status.is_success() => String::new(),
+            Some(status) => status.as_str().to_owned(),
+        });
+        *self
+            .outcomes
+            .entry((kind, first.outcome.as_str(), reason))
+            .or_default() += 1;
+        *self
+            .by_path
+            .entry((call.plan.path, call.plan.posting))
+            .or_default() += 1;
+        self.wrong += u64::from(first.wrong) + second.map_or(0, |second| u64::from(second.wrong));
+        self.resent += u64::from(second.is_some());
+        let refused = |report: &Report| report.outcome == Outcome::DidNotRun;
+        if refused(first) && second.is_none_or(refused) {
+            self.refused.push(call.id.clone());
+        }
+    }
+}
--- a/trefoillock-stand-ins/src/lib.rs
+++ b/trefoillock-stand-ins/src/lib.rs
@@ -5,7 +5,9 @@
 //!   call and a log of every run.
 //! - [`caller`]: a caller that checks that an answer is whole and its own.
 //! - [`call_mesh`]: nodes and backend servers in one process.
+//! - [`demo`]: whole daemons in one process, with faults on the way and each promise checked.
 
 pub mod backend_server;
 pub mod call_mesh;
 pub mod caller;
+pub mod demo;
--- a/trefoillockd/src/daemon.rs
+++ b/trefoillockd/src/daemon.rs
@@ -4,7 +4,8 @@
 
 use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use trefoillock_core::{Error, Peer, Step};
+use trefoillock_core::{Config, Error, Members, Peer, Step};
+use trefoillock_node::NodeView;
 use trefoillock_platform::{Clock, ControlSettings, Event, Settings};
 use trefoillock_replica::{DataFolder, ReplicaHandle, ReplicaSettings};
 use trefoillock_rpc::Token;
@@ -115,6 +116,15 @@
         Ok(Self { cx, node, control })
     }
 
+    /// What can be seen of the daemon from outside while it runs.
+    #[must_use]
+    pub fn observer(&self) -> Observer {
+        Observer {
+            view: self.node.as_ref().map(NodeRole::view),
+            metrics: self.cx.metrics.clone(),
+        }
+    }
+
     /// Waits until the stop begins and all calls in flight have ended.
     ///
     /// # Errors
@@ -146,6 +156,33 @@
     }
 }
 
+/// What can be seen of a daemon from outside while it runs, for demonstrations.
+#[derive(Debug, Clone)]
+pub struct Observer {
+    view: Option<Arc<NodeView>>,
+    metrics: Arc<Metrics>,
+}
+
+impl Observer {
+    /// The configuration that the node serves calls by, once there is one.
+    #[must_use]
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.view.as_ref()?.config()
+    }
+
+    /// The list of members that the node holds.
+    #[must_use]
+    pub fn members(&self) -> Option<Arc<Members>> {
+        Some(self.view.as_ref()?.members())
+    }
+
+    /// The bytes of control messages that the process sent.
+    #[must_use]
+    pub fn control_bytes_sent(&self) -> u64 {
+        self.metrics.control_sent.get()
+    }
+}
+
 /// The settings of the replicated log for a control replica.
 pub(crate) fn replica_settings(settings: &Settings, control: &ControlSettings) -> ReplicaSettings {
     let peers = control
--- a/trefoillockd/src/lib.rs
+++ b/trefoillockd/src/lib.rs
@@ -17,4 +17,4 @@
 mod operator_service;
 mod shared_store;
 
-pub use daemon::{Daemon, bootstrap, check_data_folder, join};
+pub use daemon::{Daemon, Observer, bootstrap, check_data_folder, join};
--- a/trefoillockd/src/node_role.rs
+++ b/trefoillockd/src/node_role.rs
@@ -10,7 +10,7 @@
 use trefoillock_backend::BackendInterface;
 use trefoillock_control::{LocalEvidence, NodeAgent, NodeIdentity, NodeInputs, NodeOutputs};
 use trefoillock_core::{Error, Evidence, Incarnation};
-use trefoillock_node::NodeContext;
+use trefoillock_node::{NodeContext, NodeView};
 use trefoillock_platform::{Event, NodeSettings};
 use trefoillock_rpc::{RpcServer, Traffic};
 
@@ -26,6 +26,7 @@
 /// A running node.
 pub(crate) struct NodeRole {
     serving: TaskTracker,
+    view: Arc<NodeView>,
 }
 
 impl NodeRole {
@@ -82,6 +83,7 @@
         let backend = trefoillock_backend::serve(backend, interface.clone(), cx.finish.clone());
         cx.spawn_server("backend", backend);
         cx.tasks.spawn(agent.run(cx.finish.clone()));
+        let view = node.view().clone();
         let pump = Pump {
             cx: cx.clone(),
             node,
@@ -91,7 +93,12 @@
         cx.tasks.spawn(pump.report(evidence_tx));
         let announcements = watch_announcements(cx.clone(), interface);
         cx.tasks.spawn(announcements);
-        Ok(Self { serving })
+        Ok(Self { serving, view })
+    }
+
+    /// What the node holds.
+    pub(crate) fn view(&self) -> Arc<NodeView> {
+        self.view.clone()
     }
 
     /// Waits until the calls in flight have ended after the stop began.
