--- a/trefoillock-stand-ins/src/lib.rs
+++ b/trefoillock-stand-ins/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`call_bench`]: a mesh for tests of calls, with shared faults and members that follow.
 //! - [`call_mesh`]: nodes and backend servers in one process.
 //! - [`demo`]: whole daemons in one process, with faults on the way and each promise checked.
+//! - [`moves_lab`]: moves under fake call outcomes in virtual time.
 //! - [`fleet`]: control replicas and nodes on an in-memory network under virtual time.
 
 pub mod backend_server;
@@ -15,3 +16,4 @@
 pub mod caller;
 pub mod demo;
 pub mod fleet;
+pub mod moves_lab;
