feat(trefoillockd): let the leader plan the guards of idempotency keys

Change: the leader asks guards of unsettled sets for acknowledgements over the peer port, plans the next sets and commits them with the tables.

--- a/trefoillock-node/src/guard_client.rs
+++ b/trefoillock-node/src/guard_client.rs
@@ -7,7 +7,9 @@
 };
 
 use trefoillock_core::{Guard, Map};
-use trefoillock_policy::{ClaimAnswer, ClaimRequest, CopyAnswer, CopyRequest, FinishRequest};
+use trefoillock_policy::{
+    ClaimAnswer, ClaimRequest, CopyAnswer, CopyRequest, FinishRequest, GuardAck,
+};
 use trefoillock_rpc::{RpcClient, Status, Token, Traffic};
 
 /// The call that claims a key.
@@ -16,6 +18,8 @@
 pub(crate) const FINISH: &str = "/guard/finish";
 /// The call that copies the records of a slot.
 pub(crate) const COPY: &str = "/guard/copy";
+/// The call by which the leader asks in which slots a node is an active guard.
+pub(crate) const ACKS: &str = "/guard/acks";
 /// The longest time that a guard takes to answer.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -65,3 +69,12 @@
             .clone()
     }
 }
+
+/// Asks a guard in which slots it is active.
+///
+/// # Errors
+///
+/// Returns the status of the call if the guard gives no answer.
+pub async fn ask_guard_acks(client: &RpcClient) -> Result<Vec<GuardAck>, Status> {
+    client.unary(ACKS, (), TIMEOUT).await
+}
--- a/trefoillock-node/src/guards.rs
+++ b/trefoillock-node/src/guards.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     NodeView,
-    guard_client::{CLAIM, COPY, FINISH, GuardClients},
+    guard_client::{ACKS, CLAIM, COPY, FINISH, GuardClients},
 };
 
 /// The number of keepers among which the slots of a node are divided.
@@ -118,6 +118,7 @@
     /// The handlers of the messages of other nodes.
     pub(crate) fn rpc_server(self: &Arc<Self>) -> RpcServer {
         let (claims, finishes, copies) = (self.clone(), self.clone(), self.clone());
+        let acks = self.clone();
         RpcServer::new(self.token.clone(), self.traffic.clone())
             .unary(CLAIM, move |req: ClaimRequest| {
                 let answer = claims.answer_claim(&req);
@@ -131,6 +132,10 @@
                 let answer = copies.answer_copy(&req);
                 async move { Ok(answer) }
             })
+            .unary(ACKS, move |()| {
+                let answer = acks.acks();
+                async move { Ok(answer) }
+            })
     }
 
     /// Follows the guard table of the configuration until `stop` is cancelled.
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -32,6 +32,7 @@
 pub use delivery::Delivery;
 pub use detached_body::detach;
 pub use draw::draw;
+pub use guard_client::ask_guard_acks;
 pub use guards::{Guards, HeldKey, KeyClaim};
 pub use headers::{strip_hop_by_hop, strip_internal};
 pub use http_server::{ServerLimits, serve_http};
--- a/trefoillockd/src/control_role.rs
+++ b/trefoillockd/src/control_role.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     daemon::{Cx, replica_settings},
+    guard_driver::GuardDriver,
     leader_driver::{LeaderDriver, LeaderInputs},
     leadership::{self, Leadership},
     operator_service::OperatorApi,
@@ -75,6 +76,9 @@
         );
         cx.spawn_server("operators", interface);
 
+        let guards = GuardDriver::new(cx.clone(), replica.clone(), store.clone(), traffic.clone());
+        cx.tasks
+            .spawn(guards.run(leadership.clone(), outputs.guards.clone()));
         let driver = LeaderDriver::new(cx.clone(), replica.clone(), store, burn, traffic);
         let inputs = LeaderInputs {
             leadership,
--- /dev/null
+++ b/trefoillockd/src/guard_driver.rs
@@ -0,0 +1,140 @@
+//! The leader's choice of the guards of idempotency keys.
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::sync::watch;
+use trefoillock_core::{Guard, GuardTable, Map, Term};
+use trefoillock_node::ask_guard_acks;
+use trefoillock_platform::Event;
+use trefoillock_policy::{DeadGuards, GuardAck, GuardAcks, plan_guards};
+use trefoillock_replica::ReplicaHandle;
+use trefoillock_rpc::{RpcClient, Traffic};
+use trefoillock_store::{Command, CommandAnswer};
+
+use crate::{daemon::Cx, leadership::Leadership, shared_store::SharedStore};
+
+/// The time between two looks at the guards.
+const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Plans the guards while this replica leads.
+pub(crate) struct GuardDriver {
+    cx: Cx,
+    replica: ReplicaHandle,
+    store: SharedStore,
+    traffic: Arc<Traffic>,
+    acks: GuardAcks,
+    clients: Map<SocketAddr, RpcClient>,
+    term: Option<Term>,
+}
+
+impl GuardDriver {
+    pub(crate) fn new(
+        cx: Cx,
+        replica: ReplicaHandle,
+        store: SharedStore,
+        traffic: Arc<Traffic>,
+    ) -> Self {
+        Self {
+            cx,
+            replica,
+            store,
+            traffic,
+            acks: GuardAcks::new(),
+            clients: Map::default(),
+            term: None,
+        }
+    }
+
+    /// Runs until the process finishes.
+    pub(crate) async fn run(
+        mut self,
+        leadership: watch::Receiver<Leadership>,
+        live: watch::Receiver<Arc<Vec<Guard>>>,
+    ) {
+        let mut tick = tokio::time::interval(PLAN_INTERVAL);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        while self
+            .cx
+            .finish
+            .run_until_cancelled(tick.tick())
+            .await
+            .is_some()
+        {
+            let term = leadership.borrow().term;
+            if term != self.term {
+                self.term = term;
+                self.acks = GuardAcks::new();
+            }
+            let live = live.borrow().clone();
+            if term.is_some() && !live.is_empty() {
+                self.plan(&live).await;
+            }
+        }
+    }
+
+    async fn plan(&mut self, live: &[Guard]) {
+        let config = self.store.lock().config().clone();
+        self.ask_unsettled(config.guards(), live).await;
+        let now = self.cx.clock.now();
+        let dead = DeadGuards::new();
+        let sets = plan_guards(now, config.guards(), live, &dead, &self.acks);
+        if sets.is_empty() {
+            return;
+        }
+        let Ok(command) = Command::Guards(sets).encode() else {
+            return;
+        };
+        let answer = self.replica.propose(command).await;
+        let answer = answer
+            .ok()
+            .and_then(|(_, bytes)| CommandAnswer::decode(&bytes).ok());
+        if let Some(CommandAnswer::Guards(slots)) = answer {
+            self.cx
+                .events
+                .write(Event::GuardsChanged, &[("slots", &slots)]);
+        }
+    }
+
+    /// Asks the live guards of sets that are not known to be settled whether they are active.
+    async fn ask_unsettled(&mut self, table: &GuardTable, live: &[Guard]) {
+        let unsettled = table
+            .iter()
+            .filter(|(slot, set)| !self.acks.is_settled(**slot, set));
+        let guards: BTreeSet<&Guard> = unsettled.flat_map(|(_, set)| &set.guards).collect();
+        let guards: Vec<&Guard> = guards
+            .into_iter()
+            .filter(|guard| live.contains(guard))
+            .collect();
+        let asked = guards.iter().map(|guard| {
+            let client = self.client(guard.peer_address);
+            async move { (*guard, ask_guard_acks(&client).await) }
+        });
+        let asked: Vec<_> = asked.collect();
+        let answers = futures::future::join_all(asked).await;
+        let answered = answers
+            .into_iter()
+            .filter_map(|(guard, acks)| Some((guard, acks.ok()?)));
+        for (guard, acks) in answered {
+            self.record(guard, &acks);
+        }
+        self.forget_clients(live);
+    }
+
+    fn record(&mut self, guard: &Guard, acks: &[GuardAck]) {
+        for ack in acks {
+            self.acks.record(*ack, &guard.node, guard.incarnation);
+        }
+    }
+
+    fn client(&mut self, address: SocketAddr) -> RpcClient {
+        let (token, traffic) = (&self.cx.token, &self.traffic);
+        let client = || RpcClient::new(address, token.clone(), traffic.clone());
+        self.clients.entry(address).or_insert_with(client).clone()
+    }
+
+    fn forget_clients(&mut self, live: &[Guard]) {
+        let addresses: BTreeSet<SocketAddr> = live.iter().map(|guard| guard.peer_address).collect();
+        self.clients
+            .retain(|address, _| addresses.contains(address));
+    }
+}
--- a/trefoillockd/src/lib.rs
+++ b/trefoillockd/src/lib.rs
@@ -9,6 +9,7 @@
 mod control_role;
 mod daemon;
 mod events;
+mod guard_driver;
 mod leader_driver;
 mod leadership;
 mod metrics;
