feat(moves): end moves to one pool together and trust known servers after a change of leader

Cause: lookups were done before the postings added their load, so a version that fails under load was never seen under it; a new leader took all servers for cold and judged no latency; doubts of thin routes came too late. Change: a move waits at its last stage until the other moves to its pool are there too; past the canary a new leader takes the servers it finds for warm; a share is not raised on counts with a probability below 1% under a good version (was 0.2%), also at the 99% quantile of the latency. Conclusion: within a minute leader changes at each step remain; bad versions on routes of 1 call/s cannot be told within a minute.

--- a/trefoillock-moves/src/controller.rs
+++ b/trefoillock-moves/src/controller.rs
@@ -53,6 +53,8 @@
     report: NodeReport,
     /// Slots that the other moves to the same pool keep busy.
     busy_of_others: f64,
+    /// Whether another move to the same pool has not reached its last stage, or has only just.
+    others_are_rising: bool,
     siblings: Siblings,
 }
 
@@ -133,6 +135,7 @@
                 report,
                 siblings: siblings(action, &moves, tables),
                 busy_of_others: self.busy_of_others(action, &active),
+                others_are_rising: others_are_rising(now, action, &active),
             };
             steps.extend(scene.step());
         }
@@ -227,7 +230,8 @@
     ) -> PoolServers {
         let pool = tables.pools().get(&action.to);
         pool.map_or_else(PoolServers::default, |pool| {
-            self.servers.of_pool(now, members, pool)
+            let is_past_canary = !Plan::is_canary(action.share);
+            self.servers.of_pool(now, members, pool, is_past_canary)
         })
     }
 }
@@ -299,9 +303,11 @@
     fn onwards(&self, plan: &Plan) -> Aim {
         let share = self.action.share;
         let kept = self.now.since(self.track.share_since());
-        let is_due = share == Share::ZERO || kept >= plan.dwell(share, self.track.share_since());
+        let dwell = plan.dwell(share, self.track.share_since());
+        let is_due = share == Share::ZERO || kept >= dwell;
         match plan.next(share) {
             _ if !is_due => self.at_share(plan, share, None),
+            Next::Done if self.must_wait_for_others(plan) => self.at_share(plan, share, None),
             Next::Raise(next) => self.at_share(plan, next, None),
             Next::Done => Aim {
                 state: MoveState::Done,
@@ -310,6 +316,12 @@
         }
     }
 
+    /// Whether other moves to the same pool are still being raised, so that the pool has not
+    /// yet been watched under the load of all of them.
+    fn must_wait_for_others(&self, plan: &Plan) -> bool {
+        self.others_are_rising && self.now < plan.latest()
+    }
+
     fn is_suspect(&self) -> bool {
         self.verdict == Verdict::Suspect
     }
@@ -460,6 +472,15 @@
     route.map_or(RouteClass::Posting, |route| route.class)
 }
 
+/// Whether another move to the same pool has not been at its last stage for a while.
+fn others_are_rising(now: Timestamp, action: &Move, active: &[&Move]) -> bool {
+    active.iter().any(|other| {
+        other.id != action.id
+            && other.to == action.to
+            && (!Plan::is_last(other.share) || now.since(other.stepped) < MIN_DWELL)
+    })
+}
+
 /// How the moves of other routes to the same pool fare.
 fn siblings(action: &Move, moves: &[&Move], tables: &Tables) -> Siblings {
     let others = moves.iter().filter(|other| {
--- a/trefoillock-moves/src/judge.rs
+++ b/trefoillock-moves/src/judge.rs
@@ -23,7 +23,7 @@
 /// kept for the quantiles.
 const GENERATION_CALLS: u64 = 5_000;
 /// The lowest probability of the counts under a good version at which a share is raised.
-const MIN_PLAUSIBILITY: f64 = 0.002;
+const MIN_PLAUSIBILITY: f64 = 0.01;
 /// The part of the new pool's calls, in percent, that may be refused before it counts as
 /// overloaded.
 const MAX_REFUSED_PERCENT: u64 = 5;
@@ -217,6 +217,7 @@
     fn is_doubtful(&self) -> bool {
         self.failures.total().plausibility() < MIN_PLAUSIBILITY
             || self.latency[0].total().plausibility() < MIN_PLAUSIBILITY
+            || self.latency[1].total().plausibility() < MIN_PLAUSIBILITY
     }
 
     fn strengths(&self) -> Vec<Strength> {
--- a/trefoillock-moves/src/plan.rs
+++ b/trefoillock-moves/src/plan.rs
@@ -21,6 +21,10 @@
 /// The smallest canary share.
 const MIN_CANARY: f64 = 0.001;
 
+/// The share of the last stage. The old pool keeps a part of the calls, to compare with, until
+/// the move is done.
+const LAST_SHARE: f64 = 0.9;
+
 /// A stage of a move: a share and the part of the time that it gets.
 #[derive(Debug, Clone, Copy)]
 struct Stage {
@@ -40,7 +44,7 @@
     stage(0.15, 8.0),
     stage(0.35, 6.0),
     stage(0.65, 5.0),
-    stage(0.9, 14.0),
+    stage(LAST_SHARE, 14.0),
 ];
 
 /// The stages of postings after other routes have proved the version.
@@ -49,7 +53,7 @@
     stage(0.05, 20.0),
     stage(0.2, 15.0),
     stage(0.5, 15.0),
-    stage(0.9, 25.0),
+    stage(LAST_SHARE, 25.0),
 ];
 
 /// The stages of postings that no other route has proved the version for.
@@ -60,7 +64,7 @@
     stage(0.12, 8.0),
     stage(0.35, 6.0),
     stage(0.65, 5.0),
-    stage(0.9, 14.0),
+    stage(LAST_SHARE, 14.0),
 ];
 
 /// What comes after the present stage.
@@ -116,6 +120,21 @@
         }
     }
 
+    /// Whether a share is that of the canary or less.
+    pub(crate) fn is_canary(share: Share) -> bool {
+        share <= Share::from_fraction(STAGES[0].share)
+    }
+
+    /// Whether a share is that of the last stage.
+    pub(crate) fn is_last(share: Share) -> bool {
+        share >= Share::from_fraction(LAST_SHARE)
+    }
+
+    /// The latest time at which a delayed move may plan to be done.
+    pub(crate) fn latest(&self) -> Timestamp {
+        self.started + self.deadline.since(self.started) * LATEST_PERCENT / 100
+    }
+
     /// The time that a share is kept, if it was set at `since`.
     pub(crate) fn dwell(&self, share: Share, since: Timestamp) -> Duration {
         let stages = &self.stages[self.index(share)..];
@@ -141,9 +160,8 @@
     fn end(&self, since: Timestamp, stages: usize) -> Timestamp {
         let span = self.deadline.since(self.started);
         let target = self.started + span * TARGET_PERCENT / 100;
-        let latest = self.started + span * LATEST_PERCENT / 100;
         let wanted = since + MIN_DWELL * 2 * u32::try_from(stages).unwrap_or(u32::MAX);
-        target.max(wanted.min(latest))
+        target.max(wanted.min(self.latest()))
     }
 
     /// The stage that a share belongs to.
--- a/trefoillock-moves/src/servers.rs
+++ b/trefoillock-moves/src/servers.rs
@@ -21,16 +21,19 @@
     incarnation: Incarnation,
     since: Timestamp,
     last: Timestamp,
+    /// Whether it was there when this leader looked first.
+    is_initial: bool,
     service: ServiceName,
     version: VersionLabel,
 }
 
 impl Seen {
-    fn new(now: Timestamp, member: &Member) -> Self {
+    fn new(now: Timestamp, member: &Member, is_initial: bool) -> Self {
         Self {
             incarnation: member.announcement.incarnation,
             since: now,
             last: now,
+            is_initial,
             service: member.announcement.service.clone(),
             version: member.announcement.version.clone(),
         }
@@ -67,17 +70,20 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ServerWatch {
     seen: BTreeMap<ServerId, Seen>,
+    has_synced: bool,
 }
 
 impl ServerWatch {
     /// Takes in the present list of members.
     pub(crate) fn sync(&mut self, now: Timestamp, members: &Members) {
         self.seen.retain(|_, seen| now.since(seen.last) < FORGET);
+        let is_initial = !self.has_synced;
+        self.has_synced = true;
         for (id, member) in &members.servers {
             let seen = self.seen.entry(id.clone());
-            let seen = seen.or_insert_with(|| Seen::new(now, member));
+            let seen = seen.or_insert_with(|| Seen::new(now, member, is_initial));
             if seen.incarnation != member.announcement.incarnation {
-                *seen = Seen::new(now, member);
+                *seen = Seen::new(now, member, false);
             }
             seen.last = now;
         }
@@ -90,11 +96,22 @@
     }
 
     /// The backend servers of a pool that take work.
-    pub(crate) fn of_pool(&self, now: Timestamp, members: &Members, pool: &Pool) -> PoolServers {
+    ///
+    /// Past the canary a new leader takes those that it finds for warm.
+    pub(crate) fn of_pool(
+        &self,
+        now: Timestamp,
+        members: &Members,
+        pool: &Pool,
+        is_past_canary: bool,
+    ) -> PoolServers {
         let cold = Duration::from_secs(u64::from(pool.policy.slow_start_s) * 2).max(MIN_COLD);
         let is_cold = |member: &Member| {
             let seen = self.seen.get(&member.id);
-            seen.is_none_or(|seen| now.since(seen.since) < cold)
+            seen.is_none_or(|seen| {
+                let is_trusted = seen.is_initial && is_past_canary;
+                !is_trusted && now.since(seen.since) < cold
+            })
         };
         let mut servers = PoolServers::default();
         for member in members.up_in(pool) {
