--- a/trefoillock-stand-ins/src/backend_server/server.rs
+++ b/trefoillock-stand-ins/src/backend_server/server.rs
@@ -39,6 +39,8 @@
     pub service_time: Duration,
     /// The validator of its answers.
     pub etag: String,
+    /// Every call of this number is answered with a server error; zero means none.
+    pub fail_every: u64,
     /// The faults that are to happen.
     pub faults: FaultPlan,
 }
@@ -59,6 +61,7 @@
             connect_delay: Duration::ZERO,
             service_time: Duration::ZERO,
             etag: version.to_owned(),
+            fail_every: 0,
             faults: FaultPlan::new(),
         })
     }
@@ -77,6 +80,13 @@
         self
     }
 
+    /// Answers every n-th call with a server error.
+    #[must_use]
+    pub const fn fail_every(mut self, calls: u64) -> Self {
+        self.fail_every = calls;
+        self
+    }
+
     /// Sets a plan of faults, which other backend servers may share.
     #[must_use]
     pub fn faults(mut self, faults: FaultPlan) -> Self {
@@ -102,6 +112,7 @@
     slots: Semaphore,
     incarnation: AtomicU64,
     waited: AtomicU64,
+    calls: AtomicU64,
     draining: AtomicBool,
     run: Mutex<CancellationToken>,
 }
@@ -116,6 +127,13 @@
         self.slots.acquire().await.ok()
     }
 
+    /// Whether the call that has just run is one of those that fail by their number.
+    pub(crate) fn fails_by_count(&self) -> bool {
+        let every = self.config.fail_every;
+        let count = self.calls.fetch_add(1, Ordering::Relaxed) + 1;
+        every > 0 && count.is_multiple_of(every)
+    }
+
     /// Ends the present run: all connections and the listening socket close.
     pub(crate) fn crash(&self) {
         let run = self.run.lock().unwrap_or_else(PoisonError::into_inner);
@@ -147,6 +165,7 @@
             slots,
             incarnation: AtomicU64::new(1),
             waited: AtomicU64::new(0),
+            calls: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             run: Mutex::new(CancellationToken::new()),
         });
--- a/trefoillock-stand-ins/src/lib.rs
+++ b/trefoillock-stand-ins/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`caller`]: a caller that checks that an answer is whole and its own.
 //! - [`call_bench`]: a mesh for tests of calls, with shared faults and members that follow.
 //! - [`call_mesh`]: nodes and backend servers in one process.
+//! - [`demo`]: whole daemons in one process, with faults on the way and each promise checked.
 //! - [`moves_lab`]: moves under fake call outcomes in virtual time.
 //! - [`fleet`]: control replicas and nodes on an in-memory network under virtual time.
 
@@ -13,5 +14,6 @@
 pub mod call_bench;
 pub mod call_mesh;
 pub mod caller;
+pub mod demo;
 pub mod fleet;
 pub mod moves_lab;
