--- a/trefoillockd/src/lib.rs
+++ b/trefoillockd/src/lib.rs
@@ -9,6 +9,7 @@
 mod control_role;
 mod daemon;
 mod events;
+mod guard_driver;
 mod leader_driver;
 mod leadership;
 mod metrics;
@@ -17,4 +18,4 @@
 mod operator_service;
 mod shared_store;
 
-pub use daemon::{Daemon, bootstrap, check_data_folder, join};
+pub use daemon::{Daemon, Observer, bootstrap, check_data_folder, join};
