--- a/trefoillock-moves/src/plan.rs
+++ b/trefoillock-moves/src/plan.rs
@@ -8,9 +8,9 @@
 pub(crate) const MIN_DWELL: Duration = Duration::from_secs(2);
 /// The part of the time between start and deadline within which a move shall be done, in
 /// percent.
-const TARGET_PERCENT: u32 = 75;
+const TARGET_PERCENT: u32 = 70;
 /// The latest part of that time at which a delayed move may plan to be done, in percent.
-const LATEST_PERCENT: u32 = 92;
+const LATEST_PERCENT: u32 = 88;
 /// New calls that a stage needs before the next one, if the route has as many.
 const STAGE_CALLS: f64 = 200.0;
 /// The part of the calls expected in a stage that must have been seen if the route is too thin
@@ -21,6 +21,10 @@
 /// The smallest canary share.
 const MIN_CANARY: f64 = 0.001;
 
+/// The share of the last stage. The old pool keeps a part of the calls, to compare with, until
+/// the move is done.
+const LAST_SHARE: f64 = 0.9;
+
 /// A stage of a move: a share and the part of the time that it gets.
 #[derive(Debug, Clone, Copy)]
 struct Stage {
@@ -40,10 +44,19 @@
     stage(0.15, 8.0),
     stage(0.35, 6.0),
     stage(0.65, 5.0),
-    stage(0.9, 14.0),
+    stage(LAST_SHARE, 14.0),
+];
+
+/// The stages of postings after other routes have proved the version.
+const VOUCHED_STAGES: [Stage; 5] = [
+    stage(0.01, 25.0),
+    stage(0.05, 20.0),
+    stage(0.2, 15.0),
+    stage(0.5, 15.0),
+    stage(LAST_SHARE, 25.0),
 ];
 
-/// The stages of postings.
+/// The stages of postings that no other route has proved the version for.
 const POSTING_STAGES: [Stage; 7] = [
     stage(0.002, 35.0),
     stage(0.01, 20.0),
@@ -51,7 +64,7 @@
     stage(0.12, 8.0),
     stage(0.35, 6.0),
     stage(0.65, 5.0),
-    stage(0.9, 14.0),
+    stage(LAST_SHARE, 14.0),
 ];
 
 /// What comes after the present stage.
@@ -74,8 +87,10 @@
 
 impl Plan {
     /// Creates the plan of a move of a route with a class and a number of calls a second.
-    pub(crate) fn new(action: &Move, class: RouteClass, rate: f64) -> Self {
+    /// A posting route is vouched for if other routes have proved the version.
+    pub(crate) fn new(action: &Move, class: RouteClass, is_vouched: bool, rate: f64) -> Self {
         let stages: &[Stage] = match class {
+            RouteClass::Posting if is_vouched => &VOUCHED_STAGES,
             RouteClass::Posting => &POSTING_STAGES,
             RouteClass::Lookup | RouteClass::Export | RouteClass::Background => &STAGES,
         };
@@ -105,6 +120,21 @@
         }
     }
 
+    /// Whether a share is that of the canary or less.
+    pub(crate) fn is_canary(share: Share) -> bool {
+        share <= Share::from_fraction(STAGES[0].share)
+    }
+
+    /// Whether a share is that of the last stage.
+    pub(crate) fn is_last(share: Share) -> bool {
+        share >= Share::from_fraction(LAST_SHARE)
+    }
+
+    /// The latest time at which a delayed move may plan to be done.
+    pub(crate) fn latest(&self) -> Timestamp {
+        self.started + self.deadline.since(self.started) * LATEST_PERCENT / 100
+    }
+
     /// The time that a share is kept, if it was set at `since`.
     pub(crate) fn dwell(&self, share: Share, since: Timestamp) -> Duration {
         let stages = &self.stages[self.index(share)..];
@@ -130,9 +160,8 @@
     fn end(&self, since: Timestamp, stages: usize) -> Timestamp {
         let span = self.deadline.since(self.started);
         let target = self.started + span * TARGET_PERCENT / 100;
-        let latest = self.started + span * LATEST_PERCENT / 100;
         let wanted = since + MIN_DWELL * 2 * u32::try_from(stages).unwrap_or(u32::MAX);
-        target.max(wanted.min(latest))
+        target.max(wanted.min(self.latest()))
     }
 
     /// The stage that a share belongs to.
