feat(trefoillockd): let a node cut a bad new pool on its own evidence

Cause: only control lowered a share; a node that sees badness waited for the round trip. Change: LocalJudge judges the counts that the node drains every 0.5 s; a cut is reported once (the recorder repeated it at every drain, which would have counted as many nodes). A test runs three control and three node processes, kills the leader and checks exit codes. Conclusion: a node lowers at once; only control raises.

--- a/trefoillock-moves/src/local_judge.rs
+++ b/trefoillock-moves/src/local_judge.rs
@@ -102,6 +102,23 @@
         state.judge_call(now, is_new, result);
     }
 
+    /// Judges calls that were counted elsewhere, all of one span of time, and returns the moves
+    /// whose new pool is cut from now on. The counts are not reported again.
+    pub fn judge(&mut self, evidence: &Evidence) -> Vec<MoveId> {
+        let mut cuts = Vec::new();
+        for (id, counts) in &evidence.moves {
+            let Some(state) = self.moves.get_mut(id).filter(|state| state.cut.is_none()) else {
+                continue;
+            };
+            state.comparison.add(sample_of(&counts.old, &counts.new));
+            state.cut_if_bad();
+            if state.cut.is_some() {
+                cuts.push(*id);
+            }
+        }
+        cuts
+    }
+
     /// Whether this node gives the new pool of a move no calls, whatever its share is.
     #[must_use]
     pub fn cut(&self, id: MoveId) -> bool {
@@ -169,6 +186,16 @@
     }
 }
 
+/// The failures of both pools; crashes are left out, for one request can cause them.
+const fn sample_of(old: &PoolEvidence, new: &PoolEvidence) -> Sample {
+    Sample {
+        new_calls: new.calls.saturating_sub(new.crashes),
+        new_events: new.failures.saturating_sub(new.crashes),
+        old_calls: old.calls.saturating_sub(old.crashes),
+        old_events: old.failures.saturating_sub(old.crashes),
+    }
+}
+
 /// Adds a call to the counts of its pool.
 fn count(pool: &mut PoolEvidence, result: CallResult) {
     match result {
--- a/trefoillock-node/src/recorder.rs
+++ b/trefoillock-node/src/recorder.rs
@@ -138,11 +138,6 @@
                 service_levels,
             });
         }
-        for id in self.cuts.load().iter() {
-            if let Some(evidence) = evidence.moves.get_mut(id) {
-                evidence.local_cuts = 1;
-            }
-        }
         evidence
     }
 
--- a/trefoillockd/src/node_role.rs
+++ b/trefoillockd/src/node_role.rs
@@ -10,6 +10,7 @@
 use trefoillock_backend::BackendInterface;
 use trefoillock_control::{LocalEvidence, NodeAgent, NodeIdentity, NodeInputs, NodeOutputs};
 use trefoillock_core::{Error, Evidence, Incarnation};
+use trefoillock_moves::LocalJudge;
 use trefoillock_node::{NodeContext, NodeView};
 use trefoillock_platform::{Event, NodeSettings};
 use trefoillock_rpc::{RpcServer, Traffic};
@@ -168,6 +169,7 @@
     async fn report(self, evidence: mpsc::Sender<LocalEvidence>) {
         let mut counts = Evidence::default();
         let mut counted = self.cx.clock.now();
+        let mut judge = LocalJudge::new();
         let mut tick = tokio::time::interval(EVIDENCE_INTERVAL);
         while self
             .cx
@@ -185,6 +187,7 @@
                 moves: drained.moves,
                 ..Evidence::default()
             };
+            self.cut(&mut judge, &mut report);
             let now = self.cx.clock.now();
             if now.since(counted) >= BURN_INTERVAL {
                 counted = now;
@@ -203,6 +206,26 @@
         }
     }
 
+    /// Cuts new pools that are bad on this node's own evidence, and reports each cut once.
+    fn cut(&self, judge: &mut LocalJudge, report: &mut Evidence) {
+        let Some(config) = self.node.view().config() else {
+            return;
+        };
+        judge.apply(&config);
+        for id in judge.judge(report) {
+            if let Some(evidence) = report.moves.get_mut(&id) {
+                evidence.local_cuts = 1;
+            }
+            let route = config.moves().iter().find(|(_, share)| share.id == id);
+            let route = route.map_or_else(String::new, |(route, _)| route.to_string());
+            let fields: [(&str, &dyn std::fmt::Display); 2] = [("route", &route), ("move", &id)];
+            self.cx.events.write(Event::LocalCut, &fields);
+        }
+        let moves = config.moves().values().map(|share| share.id);
+        let cuts = moves.filter(|id| judge.cut(*id)).collect();
+        self.node.recorder().set_cuts(cuts);
+    }
+
     /// Brings the metrics up to date.
     fn measure(&self) {
         self.cx.metrics.control_sent.set(self.traffic.sent());
--- /dev/null
+++ b/trefoillockd/tests/processes.rs
@@ -0,0 +1,373 @@
+//! The daemon as separate processes: settings, start, edits, calls, loss of a replica, stop.
+
+use std::{
+    fs,
+    io::Read as _,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Output, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use trefoillock_core::{EditAnswer, EditId};
+use trefoillock_operator::{EditRequest, OperatorClient};
+use trefoillock_rpc::Token;
+
+/// The longest wait for a state of the system; only a hang takes that long.
+const HANG: Duration = Duration::from_mins(1);
+
+fn daemon() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_trefoillockd"))
+}
+
+fn run(args: &[&str]) -> Output {
+    daemon().args(args).output().expect("the daemon runs")
+}
+
+/// The first port of a range that the platform does not give to outgoing connections.
+const FIRST_PORT: u32 = 20_000;
+/// The number of ports in the range.
+const PORTS: u32 = 10_000;
+/// The ports taken by the tests of this process.
+static TAKEN: AtomicU32 = AtomicU32::new(0);
+
+/// Free ports on loopback.
+fn free_ports(count: usize) -> Vec<u16> {
+    let first = std::process::id().wrapping_mul(97);
+    let mut ports = Vec::with_capacity(count);
+    while ports.len() < count {
+        let offset = first.wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let port = u16::try_from(FIRST_PORT + offset).expect("a port");
+        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+            ports.push(port);
+        }
+    }
+    ports
+}
+
+fn address(port: u16) -> String {
+    format!("127.0.0.1:{port}")
+}
+
+/// A process that is killed when the test ends.
+struct Process(Child);
+
+impl Process {
+    fn start(settings: &Path) -> Self {
+        let child = daemon().arg(settings).stderr(Stdio::null()).spawn();
+        Self(child.expect("the daemon starts"))
+    }
+
+    /// Asks the process to stop and returns its exit code.
+    fn terminate(mut self) -> Option<i32> {
+        let pid = self.0.id().to_string();
+        Command::new("kill")
+            .args(["-TERM", &pid])
+            .status()
+            .expect("a signal");
+        self.0.wait().expect("an exit status").code()
+    }
+
+    fn kill(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Three control and three node processes.
+struct System {
+    folder: TempDir,
+    controls: Vec<Process>,
+    nodes: Vec<Process>,
+    operators: Vec<SocketAddr>,
+    callers: Vec<u16>,
+    backend: u16,
+}
+
+impl System {
+    fn start() -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        fs::write(folder.path().join("token"), "a-secret\n").expect("a token file");
+        let ports = free_ports(24);
+        let mesh: Vec<String> = ports[0..3].iter().map(|port| address(*port)).collect();
+        let replicas: Vec<Value> = (0..3)
+            .map(|at| json!({"id": at + 1, "address": mesh[at]}))
+            .collect();
+        let control = |at: usize| {
+            json!({
+                "name": format!("control-{at}"), "data_centre": "dc", "region": "r",
+                "token_file": "token", "admin": address(ports[3 + at]),
+                "control": {
+                    "id": at + 1, "mesh": mesh[at], "operators": address(ports[6 + at]),
+                    "data_folder": format!("data-{at}"), "replicas": replicas
+                }
+            })
+        };
+        let node = |at: usize| {
+            let p = &ports[9 + 5 * at..14 + 5 * at];
+            json!({
+                "name": format!("node-{at}"), "data_centre": "dc", "region": "r",
+                "token_file": "token", "admin": address(p[0]),
+                "node": {
+                    "callers": address(p[1]), "peers": address(p[2]), "mesh": address(p[3]),
+                    "backend": address(p[4]), "control": mesh
+                }
+            })
+        };
+        let write = |name: String, settings: Value| -> PathBuf {
+            let path = folder.path().join(name);
+            fs::write(&path, settings.to_string()).expect("a settings file");
+            path
+        };
+        let control_files: Vec<PathBuf> = (0..3)
+            .map(|at| write(format!("control-{at}.json"), control(at)))
+            .collect();
+        for file in &control_files {
+            let made = run(&["--bootstrap", &file.to_string_lossy()]);
+            assert_eq!(made.status.code(), Some(0), "{made:?}");
+        }
+        let node_files: Vec<PathBuf> = (0..3)
+            .map(|at| write(format!("node-{at}.json"), node(at)))
+            .collect();
+        let operators = ports[6..9]
+            .iter()
+            .map(|port| (Ipv4Addr::LOCALHOST, *port).into());
+        Self {
+            controls: control_files
+                .iter()
+                .map(|file| Process::start(file))
+                .collect(),
+            nodes: node_files.iter().map(|file| Process::start(file)).collect(),
+            operators: operators.collect(),
+            callers: (0..3).map(|at| ports[10 + 5 * at]).collect(),
+            backend: ports[13],
+            folder,
+        }
+    }
+
+    fn client(&self) -> OperatorClient {
+        OperatorClient::new(self.operators.clone(), Token::new("a-secret")).with_rounds(200)
+    }
+}
+
+fn tables(timeout_ms: u32) -> Value {
+    json!({
+        "routes": [{"name": "positions", "match": {"path_prefix": "/"}, "class": "lookup",
+                    "pool": "desk", "timeout_ms": timeout_ms}],
+        "pools": [{"name": "desk", "service": "treaty-desk", "version": "1"}]
+    })
+}
+
+async fn apply(client: &OperatorClient, id: &str, timeout_ms: u32) -> EditAnswer {
+    let base = client.tables().await.expect("the tables").tables_version;
+    let id = EditId::try_from(id).expect("a valid identity");
+    let req = EditRequest {
+        id,
+        base,
+        tables: tables(timeout_ms),
+    };
+    client.edit(&req).await.expect("an answer").answer
+}
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+fn http() -> Http {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
+async fn send(
+    http: &Http,
+    method: &str,
+    url: String,
+    body: String,
+) -> Option<(u16, String, Bytes)> {
+    let req = Request::builder()
+        .method(method)
+        .uri(url)
+        .header("content-type", "application/json");
+    let req = req.body(Full::from(body)).expect("a valid request");
+    let resp: Response<_> = http.request(req).await.ok()?;
+    let outcome = resp
+        .headers()
+        .get("trefoillock-outcome")
+        .and_then(|v| v.to_str().ok());
+    let (status, outcome) = (
+        resp.status().as_u16(),
+        outcome.unwrap_or_default().to_owned(),
+    );
+    Some((
+        status,
+        outcome,
+        resp.into_body().collect().await.ok()?.to_bytes(),
+    ))
+}
+
+/// A backend server that answers every request with `whole`.
+async fn backend_server() -> SocketAddr {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buf = [0; 4096];
+                while stream.read(&mut buf).await.is_ok_and(|read| read > 0) {
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+                    if stream.write_all(answer).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Calls a node until it answers in full.
+async fn call_until_answered(http: &Http, port: u16) {
+    let began = Instant::now();
+    loop {
+        let answer = send(
+            http,
+            "GET",
+            format!("http://{}/x", address(port)),
+            String::new(),
+        )
+        .await;
+        if let Some((200, outcome, body)) = &answer {
+            assert_eq!(outcome, "answered");
+            assert_eq!(&body[..], b"whole");
+            return;
+        }
+        assert!(began.elapsed() < HANG, "never answered: {answer:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn six_processes_serve_calls_and_survive_the_loss_of_a_replica() {
+    let mut system = System::start();
+    let client = system.client();
+    let first = apply(&client, "first", 1_000).await;
+    assert!(matches!(first, EditAnswer::Accepted { .. }), "{first:?}");
+
+    let (http, server) = (http(), backend_server().await);
+    let backend = address(system.backend);
+    let announcer = {
+        let http = http.clone();
+        tokio::spawn(async move {
+            let body = json!({
+                "address": server, "service": "treaty-desk", "version": "1", "incarnation": 1,
+                "slots": 9, "connections": 120, "state": "up"
+            });
+            loop {
+                let url = format!("http://{backend}/announcement");
+                send(&http, "PUT", url, body.to_string()).await;
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            }
+        })
+    };
+    for port in system.callers.clone() {
+        call_until_answered(&http, port).await;
+    }
+
+    let leader = client.status().await.expect("the status");
+    let leader = leader
+        .replicas
+        .iter()
+        .position(|replica| replica.leader)
+        .expect("a leader");
+    system.controls[leader].kill();
+    let second = apply(&client, "second", 2_000).await;
+    assert!(matches!(second, EditAnswer::Accepted { .. }), "{second:?}");
+    let again = apply(&client, "second", 3_000).await;
+    assert!(matches!(again, EditAnswer::Refused(_)), "{again:?}");
+
+    announcer.abort();
+    for node in system.nodes.drain(..) {
+        assert_eq!(node.terminate(), Some(0));
+    }
+    system.controls.remove(leader);
+    for control in system.controls.drain(..) {
+        assert_eq!(control.terminate(), Some(0));
+    }
+    drop(system.folder);
+}
+
+#[tokio::test]
+async fn an_operator_without_the_token_is_refused() {
+    let system = System::start();
+    system.client().status().await.expect("the status");
+    let stranger = OperatorClient::new(system.operators.clone(), Token::new("guess"));
+    let error = stranger.status().await.expect_err("refused");
+    assert!(error.to_string().contains("token"), "{error}");
+}
+
+#[test]
+fn malformed_settings_end_with_code_2_before_any_socket_opens() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("bad.json");
+    fs::write(&file, r#"{"name": "a", "colour": "red"}"#).expect("a settings file");
+    for args in [
+        vec![file.to_str().expect("a path")],
+        vec!["--check", file.to_str().expect("a path")],
+    ] {
+        let output = run(&args);
+        assert_eq!(output.status.code(), Some(2));
+        let text = String::from_utf8_lossy(&output.stderr);
+        assert!(
+            text.contains("bad.json") && text.contains("$.colour"),
+            "{text}"
+        );
+    }
+    assert_eq!(run(&[]).status.code(), Some(2));
+    assert_eq!(run(&["a.json", "b.json"]).status.code(), Some(2));
+    assert_eq!(run(&["--version"]).status.code(), Some(0));
+}
+
+#[test]
+fn a_missing_data_folder_ends_with_code_2_and_is_not_made() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let ports = free_ports(3);
+    let mesh = address(ports[0]);
+    let settings = json!({
+        "name": "c", "data_centre": "dc", "region": "r", "admin": address(ports[1]),
+        "control": {"id": 1, "mesh": mesh, "operators": address(ports[2]), "data_folder": "data",
+                    "replicas": [{"id": 1, "address": mesh}]}
+    });
+    let file = folder.path().join("control.json");
+    fs::write(&file, settings.to_string()).expect("a settings file");
+    let mut child = daemon()
+        .arg(&file)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the daemon starts");
+    assert_eq!(child.wait().expect("an exit status").code(), Some(2));
+    let mut text = String::new();
+    child
+        .stderr
+        .take()
+        .expect("a pipe")
+        .read_to_string(&mut text)
+        .expect("text");
+    assert!(text.contains("data"), "{text}");
+    assert!(!folder.path().join("data").exists());
+}
