refactor(policy): keep the question whether a guard set is settled

Cause: trefoillockd asks it. Change: GuardAcks::is_settled is back, and the planner builds on it. Conclusion: no change of behaviour.

--- a/trefoillock-policy/src/guard/acks.rs
+++ b/trefoillock-policy/src/guard/acks.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use trefoillock_core::{Guard, GuardSlot, Incarnation, NodeId};
+use trefoillock_core::{Guard, GuardSet, GuardSlot, Incarnation, NodeId};
 
 use super::GuardAck;
 
@@ -34,6 +34,14 @@
         guards.insert((node.clone(), incarnation));
     }
 
+    /// Whether a majority of the guards of a set is active, so that claims can be won.
+    #[must_use]
+    pub fn is_settled(&self, slot: GuardSlot, set: &GuardSet) -> bool {
+        let active = set.guards.iter();
+        let active = active.filter(|guard| self.is_active(slot, set.epoch, guard));
+        active.count() >= set.quorum()
+    }
+
     /// Whether a guard is known to be active in an epoch of a slot.
     #[must_use]
     pub fn is_active(&self, slot: GuardSlot, epoch: u64, guard: &Guard) -> bool {
--- a/trefoillock-policy/src/guard/planner.rs
+++ b/trefoillock-policy/src/guard/planner.rs
@@ -284,11 +284,9 @@
     /// Whether a set can be changed: a majority of its guards is active, or all that are not
     /// dead are, and no majority could have granted a key without one of them.
     fn is_settled(&self, slot: GuardSlot, set: &GuardSet) -> bool {
-        let is_active = |guard: &&Guard| self.acks.is_active(slot, set.epoch, guard);
-        let active = set.guards.iter().filter(is_active).count();
-        let alive = set.guards.iter().filter(|guard| !self.is_dead(guard));
-        let all_alive = alive.clone().all(|guard| is_active(&guard));
-        active >= set.quorum() || (all_alive && !self.has_dead_majority(&set.guards))
+        let mut alive = set.guards.iter().filter(|guard| !self.is_dead(guard));
+        let all_alive = alive.all(|guard| self.acks.is_active(slot, set.epoch, guard));
+        self.acks.is_settled(slot, set) || (all_alive && !self.has_dead_majority(&set.guards))
     }
 
     /// Whether so many guards are proved dead that they may have been a majority.
