--- a/trefoillock-replica/src/replica.rs
+++ b/trefoillock-replica/src/replica.rs
@@ -7,26 +7,25 @@
 mod output;
 mod read;
 mod replicate;
+mod role;
 mod snapshot;
 mod view;
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::VecDeque, sync::Arc};
 
 use displaydoc::Display;
-use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
-use trefoillock_core::{LogIndex, ReplicaId, Term, Timestamp};
+use trefoillock_core::{LogIndex, ReplicaId, Timestamp};
 
 use crate::{
     Content, Effect, Entry, HardState, Limits, Membership, Message, Payload, Position, Refusal,
     Sender, Snapshot, Ticket, Timing,
     log::Log,
-    progress::Progress,
-    replica::{output::Outgoing, read::PendingRead, snapshot::IncomingSnapshot},
+    replica::{
+        output::Outgoing,
+        role::{Leadership, Role},
+        snapshot::IncomingSnapshot,
+    },
     steady_clock::SteadyClock,
 };
 
@@ -69,39 +68,6 @@
     Leader,
 }
 
-#[derive(Debug, Clone)]
-enum Role {
-    Follower,
-    PreCandidate {
-        granted: BTreeSet<ReplicaId>,
-    },
-    Candidate {
-        granted: BTreeSet<ReplicaId>,
-        own_vote: Ticket,
-    },
-    Leader(Box<Leadership>),
-}
-
-#[derive(Debug, Clone)]
-struct Leadership {
-    progress: BTreeMap<ReplicaId, Progress>,
-    /// The first index of the leader's own term.
-    first_index: LogIndex,
-    round: u64,
-    /// The beginnings of rounds that no quorum has answered yet.
-    rounds: VecDeque<(u64, Timestamp)>,
-    quorum_round: u64,
-    round_wanted: bool,
-    heartbeat_at: Timestamp,
-    /// The beginning of the latest round that a quorum answered, or of the leadership.
-    contact: Timestamp,
-    /// The beginning of the latest round that a quorum answered, for the lease.
-    lease_start: Option<Timestamp>,
-    reads: Vec<PendingRead>,
-    /// The size of the entries that are not committed, in bytes.
-    uncommitted_bytes: usize,
-}
-
 /// The machine of one replica. It does no I/O and reads no clock.
 ///
 /// After each input, [`Replica::take_effects`] returns what must be done, in order.
@@ -302,84 +268,6 @@
     const fn now(&self) -> Timestamp {
         self.clock.now()
     }
-
-    /// The reason why a sender takes no part any more, by the committed membership.
-    fn refusal(&self, from: Sender) -> Option<Refusal> {
-        let members = self.committed_membership();
-        if members.is_removed(from.id) {
-            return Some(Refusal::Removed);
-        }
-        let disk = members.get(from.id)?.disk?;
-        (disk != from.disk).then_some(Refusal::OtherDisk)
-    }
-
-    /// Takes a higher term over. Returns whether the message is to be looked at.
-    fn adopt_term(&mut self, message: &Message) -> bool {
-        let Some(term) = message.term() else {
-            return true;
-        };
-        if term <= self.hard_state.term {
-            return true;
-        }
-        match message {
-            Message::PreVote { .. } | Message::PreVoteAnswer { granted: true, .. } => true,
-            Message::Vote { .. } if self.leader_is_alive() => false,
-            _ => {
-                self.become_follower(term, None);
-                true
-            }
-        }
-    }
-
-    fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>) {
-        if term > self.hard_state.term {
-            self.hard_state = HardState {
-                term,
-                voted_for: None,
-            };
-            self.hard_state_changed = true;
-        }
-        if let Role::Leader(leadership) = std::mem::replace(&mut self.role, Role::Follower) {
-            let failed = leadership.reads.into_iter().map(PendingRead::failed);
-            self.effects.extend(failed);
-        }
-        self.leader = leader;
-        self.reset_election();
-    }
-
-    fn reset_election(&mut self) {
-        let min = self.timing.election_min.as_micros();
-        let max = self.timing.election_max.as_micros().max(min + 1);
-        let micros = u64::try_from(self.rng.random_range(min..max)).unwrap_or(u64::MAX);
-        self.election_at = self.now() + Duration::from_micros(micros);
-    }
-
-    /// Whether a leader was heard of so lately that it may hold a lease.
-    fn leader_is_alive(&self) -> bool {
-        let since = match &self.role {
-            Role::Leader(leadership) => leadership.contact,
-            _ => self.heard_at,
-        };
-        since > Timestamp::EPOCH && self.now().since(since) < self.timing.election_min
-    }
-
-    /// Whether this replica leads and a quorum answered lately.
-    fn has_quorum_contact(&self) -> bool {
-        let Role::Leader(leadership) = &self.role else {
-            return false;
-        };
-        self.now().since(leadership.contact) < self.timing.lease
-    }
-
-    fn others(&self) -> Vec<ReplicaId> {
-        let own = self.identity.id;
-        let voters = self.membership().voters();
-        voters.filter(|&id| id != own).collect()
-    }
-
-    fn is_voter(&self) -> bool {
-        self.membership().is_voter(self.identity.id)
-    }
 }
 
 /// The memberships in a log after an index.
--- /dev/null
+++ b/trefoillock-replica/tests/simulation/effects.rs
@@ -0,0 +1,184 @@
+//! Inputs of the machines, and the effects that they cause.
+
+use rand::RngExt;
+use trefoillock_core::{ReplicaId, Term, Timestamp};
+use trefoillock_replica::{Content, Effect, Entry, Message, Payload, Replica, RoleKind, Timing};
+
+use super::{Simulation, State, checks::Fate, faults::step_of};
+
+impl Simulation {
+    /// Gives a replica an input and carries its effects out.
+    pub(super) fn input<T>(
+        &mut self,
+        id: ReplicaId,
+        f: impl FnOnce(&mut Replica, Timestamp) -> T,
+    ) -> Option<T> {
+        if self.nodes[&id].wakes_at > self.now {
+            return None;
+        }
+        let now = self.clock(id);
+        self.node(id).clock_seen = now;
+        let output = f(self.node(id).replica.as_mut()?, now);
+        self.settle(id);
+        self.lease_excludes_others(id);
+        Some(output)
+    }
+
+    /// No other replica holds a lease of an earlier term while one leads.
+    pub(super) fn lease_excludes_others(&self, id: ReplicaId) {
+        let replica = self.nodes[&id].replica.as_ref();
+        let Some(leader) = replica.filter(|r| r.role() == RoleKind::Leader) else {
+            return;
+        };
+        for (&other, node) in &self.nodes {
+            let Some(replica) = &node.replica else {
+                continue;
+            };
+            // A replica whose clock stepped drops its lease before it uses it.
+            let now = self.clock(other);
+            let max_step = Timing::default().max_clock_step;
+            let stepped = now < node.clock_seen || now.since(node.clock_seen) > max_step;
+            let holds = replica.lease_until().is_some_and(|until| until > now);
+            let earlier = replica.term() < leader.term();
+            assert!(
+                stepped || !earlier || !holds,
+                "{id} leads while {other} holds a lease"
+            );
+        }
+    }
+
+    pub(super) fn settle(&mut self, id: ReplicaId) {
+        let identity = self.nodes[&id].identity;
+        while let Some(replica) = self.node(id).replica.as_mut() {
+            let effects = replica.take_effects();
+            if let Some(replica) = &self.nodes[&id].replica {
+                self.checks.replica(replica);
+            }
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                let node = &self.nodes[&id];
+                if node.replica.is_none() || node.identity != identity {
+                    return;
+                }
+                self.carry_out(id, effect);
+            }
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, id: ReplicaId, effect: Effect) {
+        let step = step_of(&effect);
+        let strikes = step.and_then(|step| self.springs(step));
+        if let Some(trap) = strikes.filter(|trap| !trap.after) {
+            let identity = self.nodes[&id].identity;
+            self.strike(id, trap.fault);
+            let node = &self.nodes[&id];
+            if node.replica.is_none() || node.identity != identity {
+                return;
+            }
+        }
+        self.carry_out_intact(id, effect);
+        if let Some(trap) = strikes.filter(|trap| trap.after) {
+            self.strike(id, trap.fault);
+        }
+    }
+
+    pub(super) fn carry_out_intact(&mut self, id: ReplicaId, effect: Effect) {
+        match effect {
+            Effect::Write { ticket, writes } => {
+                self.checks.writes(&writes);
+                let slow = self.rng.random_range(0..50) == 0;
+                let latency = self
+                    .rng
+                    .random_range(1_000..if slow { 600_000 } else { 30_000 });
+                let due = self.now + latency;
+                self.node(id).disk.write(ticket, due, writes);
+            }
+            Effect::Send { to, message } => self.send(id, to, &message),
+            Effect::Apply(entries) => entries.iter().for_each(|entry| self.apply(id, entry)),
+            Effect::Restore(snapshot) => {
+                let bytes = snapshot.data.as_slice();
+                let state: State = rmp_serde::from_slice(bytes).expect("a state");
+                let node = self.node(id);
+                node.state = state;
+                node.applied = snapshot.position.index;
+                node.pending
+                    .retain(|(index, _), _| *index > snapshot.position.index);
+            }
+            Effect::TakeSnapshot { position } => {
+                let now = self.clock(id);
+                let node = self.node(id);
+                assert_eq!(node.applied, position.index);
+                let data = rmp_serde::to_vec(&node.state).expect("bytes");
+                if let Some(replica) = &mut node.replica {
+                    replica.snapshot_taken(now, position, Payload::from(data));
+                }
+            }
+            Effect::ReadReady(read) => {
+                let node = self.node(id);
+                let wanted = node.reads.remove(&read).expect("an open read");
+                assert!(node.applied >= wanted, "a read missed {wanted}");
+            }
+            Effect::ReadFailed(read) => {
+                self.node(id).reads.remove(&read).expect("an open read");
+            }
+            Effect::Halt { reason } => panic!("{reason}"),
+        }
+    }
+
+    pub(super) fn send(&mut self, id: ReplicaId, to: ReplicaId, message: &Message) {
+        let node = &self.nodes[&id];
+        let from = node.identity;
+        self.checks.send(from, to, message, &node.disk);
+        if !self.nodes.contains_key(&to) {
+            return;
+        }
+        let copies = match self.rng.random_range(0..100) {
+            0..8 if self.lossy => 0,
+            8..14 if self.lossy => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let late = self.lossy && self.rng.random_range(0..30) == 0;
+            let delay = self
+                .rng
+                .random_range(1_000..if late { 3_000_000 } else { 40_000 });
+            self.sequence += 1;
+            let key = (self.now + delay, self.sequence);
+            self.network.insert(key, (from, to, message.clone()));
+        }
+    }
+
+    pub(super) fn apply(&mut self, id: ReplicaId, entry: &Entry) {
+        self.checks.apply(entry);
+        let node = self.nodes.get_mut(&id).expect("a node");
+        assert!(
+            node.disk.holds(entry),
+            "an entry was applied before it was synced"
+        );
+        assert_eq!(
+            entry.index(),
+            node.applied.next(),
+            "a gap in applied entries"
+        );
+        node.applied = entry.index();
+        if let Content::Command(command) = &entry.content {
+            let command = command.as_slice().to_vec();
+            node.state.push((entry.index(), command));
+        }
+        let index = entry.index();
+        let waiting = node
+            .pending
+            .extract_if(..=(index, Term::new(u64::MAX)), |_, _| true);
+        for ((at, term), command) in waiting {
+            assert_eq!(at, index);
+            let fate = if term == entry.position.term {
+                Fate::Committed
+            } else {
+                Fate::DidNotCommit
+            };
+            self.checks.answer(command, fate);
+        }
+    }
+}
