fix(replica): forget a silent leader as a learner and stop when the disk's thread ends

Cause: a learner named a dead leader for ever, so callers were sent there; a disk thread that ended without an error would have left a replica that never syncs. Change: the leader is forgotten at the election timeout whether or not the replica campaigns; a closed channel of the disk's thread is a failure. Conclusion: a test covers the first; the second has no test, since the thread ends only by a panic.

--- a/trefoillock-replica/src/driver.rs
+++ b/trefoillock-replica/src/driver.rs
@@ -77,7 +77,8 @@
             tokio::select! {
                 () = stop.cancelled() => return Ok(()),
                 _ = ticks.tick() => self.tick(),
-                Some(result) = inputs.synced.recv() => {
+                result = inputs.synced.recv() => {
+                    let result = result.ok_or("the disk's thread has ended")?;
                     let ticket = result.map_err(|error| error.to_string())?;
                     self.replica.synced(self.clock.now(), ticket);
                 }
--- a/trefoillock-replica/src/replica/election.rs
+++ b/trefoillock-replica/src/replica/election.rs
@@ -14,10 +14,10 @@
     /// Asks the voters whether they would vote for this replica.
     pub(super) fn start_pre_vote(&mut self) {
         self.reset_election();
+        self.leader = None;
         if !self.may_campaign() || self.refused.is_some() {
             return;
         }
-        self.leader = None;
         self.role = Role::PreCandidate {
             granted: BTreeSet::from([self.identity.id]),
         };
--- a/trefoillock-replica/tests/machine.rs
+++ b/trefoillock-replica/tests/machine.rs
@@ -422,3 +422,23 @@
     assert_eq!(machine.replica.commit(), LogIndex::new(3));
     assert_eq!(machine.replica.role(), RoleKind::Learner);
 }
+
+#[test]
+fn a_learner_forgets_a_leader_that_is_silent_and_does_not_campaign() {
+    let mut machine = Machine::new(0, 1, Vec::new(), Limits::default());
+    machine.receive(
+        2,
+        Message::Append(Append {
+            term: Term::new(1),
+            round: 1,
+            previous: Position::default(),
+            entries: Vec::new(),
+            commit: LogIndex::ZERO,
+        }),
+    );
+    assert_eq!(machine.replica.leader(), Some(id(2)));
+    machine.pass(Duration::from_millis(2_100));
+    assert_eq!(machine.replica.leader(), None);
+    assert_eq!(machine.replica.role(), RoleKind::Learner);
+    assert_eq!(machine.replica.term(), Term::new(1));
+}
