feat(moves): give new pools no calls while control is silent; look closer at thin doubts

Cause: nodes cut off from control kept the new pool's share for as long as the cut lasted; a route with two early failures was held at its canary until the deadline. Change: LocalJudge::confirm and a silence of 5 s after which cut() holds; a doubt of one route alone may be settled at up to 2.5% while the pooled evidence is clear.

--- a/trefoillock-moves/src/controller.rs
+++ b/trefoillock-moves/src/controller.rs
@@ -25,6 +25,8 @@
 const PROVEN: f64 = 0.15;
 /// Crash reports that are kept between two decisions.
 const MAX_CRASHES: usize = 1_000;
+/// The largest share to which a doubtful version may be raised for a closer look.
+const CLOSER_LOOK: f64 = 0.025;
 /// The longest hold that is not told as a step of its own.
 const BRIEF_HOLD: Duration = Duration::from_secs(3);
 /// By how much the earliest time must change to be reported again.
@@ -49,6 +51,8 @@
     class: RouteClass,
     track: &'a Track,
     verdict: Verdict,
+    /// The verdict on all moves to the same pool.
+    pool_verdict: Verdict,
     servers: PoolServers,
     report: NodeReport,
     /// Slots that the other moves to the same pool keep busy.
@@ -131,6 +135,10 @@
                 class: class_of(action, tables),
                 track,
                 verdict,
+                pool_verdict: self
+                    .pools
+                    .get(&action.to)
+                    .map_or(Verdict::Clear, PoolJudge::verdict),
                 servers: self.servers_of(now, action, tables, members),
                 report,
                 siblings: siblings(action, &moves, tables),
@@ -343,7 +351,8 @@
         if !is_due {
             return None;
         }
-        if self.verdict == Verdict::Doubtful || self.track.cuts_at_share() > 0 {
+        let is_doubtful = self.verdict == Verdict::Doubtful && !self.may_look_closer(plan);
+        if is_doubtful || self.track.cuts_at_share() > 0 {
             return Some(HoldReason::Suspicion);
         }
         let needed = plan.calls_needed(share, since, self.track.rate());
@@ -361,6 +370,14 @@
         (needed > self.slots() * MAX_BUSY).then_some(HoldReason::Capacity)
     }
 
+    /// Whether a doubt of this route alone may be settled at the next share, since it is small
+    /// and the version is clear on the routes as a whole.
+    fn may_look_closer(&self, plan: &Plan) -> bool {
+        let is_small = |share: Share| share.fraction() <= CLOSER_LOOK;
+        self.pool_verdict == Verdict::Clear
+            && matches!(plan.next(self.action.share), Next::Raise(next) if is_small(next))
+    }
+
     /// The slots of the new pool that the route keeps busy at a share.
     fn busy(&self, share: Share) -> f64 {
         self.track.busy() * share.fraction()
--- a/trefoillock-moves/src/local_judge.rs
+++ b/trefoillock-moves/src/local_judge.rs
@@ -13,6 +13,8 @@
 /// The number of steps after which a cut ends. The first step after a cut may have been
 /// decided before control saw the cut; the second one was not.
 const STEPS_TO_CLEAR: u32 = 2;
+/// The silence of control after which a node gives new pools no calls.
+const MAX_SILENCE: Duration = Duration::from_secs(5);
 
 /// How a call of a route on the move ended, as the node that took it in saw it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +50,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct LocalJudge {
     moves: BTreeMap<MoveId, LocalMove>,
+    confirmed: Option<Timestamp>,
 }
 
 impl LocalJudge {
@@ -102,10 +105,23 @@
         state.judge_call(now, is_new, result);
     }
 
-    /// Whether this node gives the new pool of a move no calls, whatever its share is.
+    /// Notes that a live leader confirmed the configuration of this node, directly or through
+    /// relays.
+    pub const fn confirm(&mut self, now: Timestamp) {
+        self.confirmed = Some(now);
+    }
+
+    /// Whether this node gives the new pool of a move no calls, whatever its share is: it has cut
+    /// the pool, or control has been silent, so that nobody would take a bad version back.
+    ///
+    /// A cut lasts until control has decided on the move again; silence ends when control is
+    /// heard. A node that [`LocalJudge::confirm`] was never called on does not watch for silence.
     #[must_use]
-    pub fn cut(&self, id: MoveId) -> bool {
-        self.moves.get(&id).is_some_and(|state| state.cut.is_some())
+    pub fn cut(&self, now: Timestamp, id: MoveId) -> bool {
+        let is_silent = self
+            .confirmed
+            .is_some_and(|confirmed| now.since(confirmed) > MAX_SILENCE);
+        is_silent || self.moves.get(&id).is_some_and(|state| state.cut.is_some())
     }
 
     /// Takes the evidence since the last report.
--- a/trefoillock-stand-ins/src/moves_lab/cluster.rs
+++ b/trefoillock-stand-ins/src/moves_lab/cluster.rs
@@ -190,6 +190,9 @@
             if self.weather.is_cut_off(since_start, number) {
                 continue;
             }
+            if self.tick >= self.leader_from {
+                node.judge.confirm(START + since_start);
+            }
             for at in (0..node.inbox.len()).rev() {
                 if node.inbox[at].0 > self.tick {
                     continue;
@@ -231,7 +234,7 @@
         let node = self.rng.random_range(0..NODES);
         let view = self.nodes[node].views[route];
         let draw = self.rng.random_range(0..Share::PARTS);
-        let is_cut = self.nodes[node].judge.cut(id_of(route));
+        let is_cut = self.nodes[node].judge.cut(self.now(), id_of(route));
         let is_new = view.share.takes(draw) && !is_cut;
         let result = if is_new {
             self.new_call(route, up, is_poison)
@@ -446,10 +449,11 @@
     /// Notes the last tick at which a node gave calls of a bad route to the new version.
     fn note_zero(&mut self) {
         let version = self.scenario.version;
+        let now = self.now();
         let is_open = |node: &Node, route: usize| {
             version.is_bad_on(route)
                 && node.views[route].share > Share::ZERO
-                && !node.judge.cut(id_of(route))
+                && !node.judge.cut(now, id_of(route))
         };
         let any_open = self
             .nodes
