feat(stand-ins): add one change of leader, 500 calls/s and a summary to the example moves

Change: the fault LeaderChange (one change, at a step by the seed); rate 500 for deadlines below 1800 s; the example prints sums by version and then every cell that misses a target.

--- a/trefoillock-stand-ins/examples/moves.rs
+++ b/trefoillock-stand-ins/examples/moves.rs
@@ -4,6 +4,7 @@
 //! `cargo run --release --example moves -- [--json] [--runs N] [--threads N] [--only WORD]`
 
 use std::{
+    collections::BTreeMap,
     sync::atomic::{AtomicUsize, Ordering},
     thread,
     time::Duration,
@@ -21,7 +22,9 @@
 /// Deadlines, in seconds.
 const DEADLINES: [u64; 3] = [60, 300, 1_800];
 /// Calls of each route a second.
-const RATES: [u32; 3] = [1, 20, 100];
+const RATES: [u32; 4] = [1, 20, 100, 500];
+/// The deadline from which the highest rate is left out, in seconds, to bound the time of a run.
+const LONG_DEADLINE: u64 = 1_800;
 
 /// A cell of the matrix.
 #[derive(Clone, Copy)]
@@ -79,7 +82,8 @@
 fn cells() -> Vec<Cell> {
     let mut cells = Vec::new();
     for deadline in DEADLINES {
-        for rate in RATES {
+        let is_left_out = |rate: &u32| deadline >= LONG_DEADLINE && *rate == RATES[RATES.len() - 1];
+        for rate in RATES.into_iter().filter(|rate| !is_left_out(rate)) {
             for fault in Fault::ALL {
                 let versions = [Version::Good].into_iter().chain(Version::BAD);
                 cells.extend(versions.map(|version| Cell {
@@ -137,26 +141,42 @@
     missed.map(|(_, name)| name).collect()
 }
 
+/// Prints one row for each deadline, rate and version, summed over the faults, then every cell
+/// that misses a target.
 fn print_table(cells: &[Cell], results: &[(Tally, Tally)]) {
-    let mut missed_cells = 0;
+    let mut rows: BTreeMap<(u64, u32, Version), (Tally, Tally)> = BTreeMap::new();
     for (cell, (ours, naive)) in cells.iter().zip(results) {
+        let row = rows
+            .entry((cell.deadline, cell.rate, cell.version))
+            .or_default();
+        row.0.merge(ours);
+        row.1.merge(naive);
+    }
+    for ((deadline, rate, version), (ours, naive)) in &rows {
+        println!("{version:?}, {rate} calls/s a route, deadline {deadline} s, all faults");
+        println!("    ours   {}", line(*version, ours));
+        println!("    naive  {}", line(*version, naive));
+    }
+    let mut missed_cells = 0;
+    for (cell, (ours, _)) in cells.iter().zip(results) {
         let missed = misses(cell, ours);
-        missed_cells += usize::from(!missed.is_empty());
-        let verdict = if missed.is_empty() {
-            "ok".to_owned()
-        } else {
-            format!("MISS: {}", missed.join(", "))
-        };
-        println!("{:<52} ours  {}  {verdict}", cell.name(), line(cell, ours));
-        println!("{:<52} naive {}", "", line(cell, naive));
+        if !missed.is_empty() {
+            missed_cells += 1;
+            let missed = missed.join(", ");
+            println!(
+                "MISS {}: {missed}: {}",
+                cell.name(),
+                line(cell.version, ours)
+            );
+        }
     }
     println!("{missed_cells} of {} cells miss a target", cells.len());
     print_sum(cells, results);
 }
 
-fn line(cell: &Cell, tally: &Tally) -> String {
+fn line(version: Version, tally: &Tally) -> String {
     let runs = tally.runs;
-    if cell.version.is_bad() {
+    if version.is_bad() {
         return format!(
             "taken back {:>3}/{runs} shown {:>3}/{runs} share {:>6.3}% zero p50 {:>5.1} s max {:>5.1} s postings/run {:>6.1}",
             tally.bad_taken_back,
@@ -168,7 +188,7 @@
         );
     }
     format!(
-        "done in time {:>3}/{runs} judged bad {:>3}/{runs} time p50 {:>4.0}% max {:>4.0}%",
+        "done in time {:>3}/{runs} judged bad {:>3}/{runs} time of deadline p50 {:>4.0}% max {:>4.0}%",
         tally.done_in_time,
         tally.judged_bad,
         quantile(&tally.parts_of_deadline, 0.5) * 100.0,
--- a/trefoillock-stand-ins/src/moves_lab/cluster.rs
+++ b/trefoillock-stand-ins/src/moves_lab/cluster.rs
@@ -73,6 +73,7 @@
     moves: Vec<Move>,
     decider: MoveController,
     leader_from: u64,
+    share_steps: u64,
     nodes: Vec<Node>,
     servers: [Server; NEW_SERVERS],
     members: Members,
@@ -112,6 +113,7 @@
             tables,
             decider: MoveController::new(),
             leader_from: 0,
+            share_steps: 0,
             nodes: (0..NODES).map(|_| Node::default()).collect(),
             servers: [Server::default(); NEW_SERVERS],
             members: Members::default(),
@@ -402,7 +404,9 @@
             action.evidence = step.evidence;
             self.distribute(route);
         }
-        if has_moved && self.weather.changes_leader() {
+        let number = self.share_steps;
+        self.share_steps += u64::from(has_moved);
+        if has_moved && self.weather.changes_leader(number) {
             self.decider = MoveController::new();
             self.leader_from = self.tick + LEADER_GAP_TICKS;
         }
--- a/trefoillock-stand-ins/src/moves_lab/scenario.rs
+++ b/trefoillock-stand-ins/src/moves_lab/scenario.rs
@@ -85,6 +85,9 @@
     PoisonRequest,
     /// One node beside a new backend server restarts every 10 s.
     NodeRestarts,
+    /// The leader changes once, after one of the steps by the seed, with a gap of 2 s in which
+    /// evidence is lost.
+    LeaderChange,
     /// The leader changes after each step, with a gap of 2 s in which evidence is lost.
     LeaderChanges,
     /// One data centre of three cannot reach control for a minute.
@@ -97,7 +100,7 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::None,
         Self::ColdStart,
         Self::OneByOne,
@@ -105,6 +108,7 @@
         Self::LyingLoadReports,
         Self::PoisonRequest,
         Self::NodeRestarts,
+        Self::LeaderChange,
         Self::LeaderChanges,
         Self::DataCentreCut,
         Self::RegionCut,
--- a/trefoillock-stand-ins/src/moves_lab/weather.rs
+++ b/trefoillock-stand-ins/src/moves_lab/weather.rs
@@ -19,6 +19,8 @@
 const RESTART_PERIOD: Duration = Duration::from_secs(10);
 /// The time that a restart takes.
 const RESTART: Duration = Duration::from_secs(3);
+/// The decisions that change shares in a run without faults.
+const SHARE_STEPS: u64 = 12;
 /// The time for which new backend servers are cold.
 const COLD: f64 = 20.0;
 
@@ -27,6 +29,7 @@
 pub(crate) struct Weather {
     fault: Fault,
     deadline: Duration,
+    seed: u64,
 }
 
 impl Weather {
@@ -34,6 +37,7 @@
         Self {
             fault: scenario.fault,
             deadline: scenario.deadline,
+            seed: scenario.seed,
         }
     }
 
@@ -122,8 +126,13 @@
         rng.random_range(1..=3)
     }
 
-    /// Whether each step is followed by a change of leader.
-    pub(crate) fn changes_leader(&self) -> bool {
-        self.fault == Fault::LeaderChanges
+    /// Whether a step that changed a share, given by its number, is followed by a change of
+    /// leader.
+    pub(crate) fn changes_leader(&self, step: u64) -> bool {
+        match self.fault {
+            Fault::LeaderChange => step == self.seed % SHARE_STEPS,
+            Fault::LeaderChanges => true,
+            _ => false,
+        }
     }
 }
