test(moves): cover the controller, the sequential test, the node's judge and the matrix

Cause: behaviour without tests; a cut on a node held the share for good. Change: tests of the controller, of postings, of the false-alarm rate and of LocalJudge; a matrix test over versions and faults; after a node's cut the share is kept for 10 s with a step at both ends, so that the node's cut ends; controller.rs divided into controller, scene and siblings.

--- a/trefoillock-moves/src/lib.rs
+++ b/trefoillock-moves/src/lib.rs
@@ -26,12 +26,13 @@
 mod plan;
 mod pool_judge;
 mod sample;
+mod scene;
 mod servers;
+mod siblings;
 mod track;
 
 pub use comparison::Comparison;
 pub use controller::MoveController;
-pub use judge::{Judge, Verdict};
 pub use local_judge::{CallResult, LocalJudge};
 pub use node_report::NodeReport;
 pub use sample::Sample;
--- a/trefoillock-moves/src/track.rs
+++ b/trefoillock-moves/src/track.rs
@@ -18,6 +18,9 @@
 const WINDOW_CALLS: u64 = 10;
 /// The time after which a window is full with fewer calls.
 const WINDOW_SPAN: Duration = Duration::from_secs(3);
+/// The time for which a share is kept after a node cut the new pool. The steps at its start and
+/// its end tell the node that control has seen the cut.
+const CUT_HOLD: Duration = Duration::from_secs(10);
 /// The largest time that one report counts for.
 const MAX_GAP: Duration = Duration::from_secs(10);
 
@@ -34,7 +37,7 @@
     share: Option<(Share, u32)>,
     share_since: Timestamp,
     calls_at_share: u64,
-    cuts_at_share: u32,
+    last_cut: Option<Timestamp>,
     observed_since: Option<Timestamp>,
     counted: Timestamp,
     last_calls: Option<Timestamp>,
@@ -58,7 +61,6 @@
             self.share = Some((action.share, action.step));
             self.share_since = action.stepped;
             self.calls_at_share = 0;
-            self.cuts_at_share = 0;
         }
     }
 
@@ -69,7 +71,9 @@
         let step = self.share.map_or(0, |(_, step)| step);
         for evidence in pending.iter().filter(|evidence| evidence.step >= step) {
             self.calls_at_share += evidence.new.calls;
-            self.cuts_at_share += evidence.local_cuts;
+        }
+        if pending.iter().any(|evidence| evidence.local_cuts > 0) {
+            self.last_cut = Some(now);
         }
         let mut windows = Vec::with_capacity(pending.len());
         for evidence in &pending {
@@ -112,9 +116,9 @@
         self.calls_at_share
     }
 
-    /// Nodes that cut the new pool at the present share.
-    pub(crate) const fn cuts_at_share(&self) -> u32 {
-        self.cuts_at_share
+    /// Whether a node cut the new pool of late.
+    pub(crate) fn was_cut(&self, now: Timestamp) -> bool {
+        self.last_cut.is_some_and(|cut| now.since(cut) < CUT_HOLD)
     }
 
     /// The calls of the route a second.
--- /dev/null
+++ b/trefoillock-moves/tests/local_judge.rs
@@ -0,0 +1,98 @@
+//! Behaviour of the judge on a node.
+
+use std::time::Duration;
+
+use trefoillock_core::{MoveId, Timestamp};
+use trefoillock_moves::{CallResult, LocalJudge};
+
+const ID: MoveId = MoveId::new(1);
+const ANSWERED: CallResult = CallResult::Answered(Duration::from_millis(10));
+
+/// A judge with a move at step 3.
+fn judge() -> LocalJudge {
+    let mut judge = LocalJudge::new();
+    judge.set_step(ID, 3);
+    judge
+}
+
+/// Records calls for some seconds, a hundred a second, one of ten at the new pool.
+fn record(judge: &mut LocalJudge, seconds: u64, new: CallResult, old: CallResult) -> Timestamp {
+    let mut now = Timestamp::from_secs(1_000);
+    for call in 0..seconds * 100 {
+        now = now + Duration::from_millis(10);
+        let is_new = call % 10 == 0;
+        judge.record(now, ID, 3, is_new, if is_new { new } else { old });
+    }
+    now
+}
+
+#[test]
+fn a_node_cuts_a_pool_that_fails() {
+    let mut judge = judge();
+    let now = record(&mut judge, 5, CallResult::Failed, ANSWERED);
+    assert!(judge.cut(now, ID));
+    assert_eq!(judge.take_report().moves[&ID].local_cuts, 1);
+    assert!(judge.take_report().is_empty(), "a cut is reported once");
+}
+
+#[test]
+fn a_node_cuts_nothing_that_fails_as_often_as_the_old_pool() {
+    let mut judge = judge();
+    let now = record(&mut judge, 60, CallResult::Failed, CallResult::Failed);
+    assert!(!judge.cut(now, ID));
+}
+
+#[test]
+fn refusals_lost_nodes_and_crashes_cut_nothing() {
+    let results = [
+        CallResult::Refused,
+        CallResult::NodeLost,
+        CallResult::Crashed,
+    ];
+    for result in results {
+        let mut judge = judge();
+        let now = record(&mut judge, 60, result, ANSWERED);
+        assert!(!judge.cut(now, ID), "{result:?}");
+    }
+}
+
+#[test]
+fn only_a_step_that_control_decided_after_the_cut_ends_it() {
+    let mut judge = judge();
+    let now = record(&mut judge, 5, CallResult::Failed, ANSWERED);
+    judge.set_step(ID, 4);
+    assert!(judge.cut(now, ID), "step 4 may be older than the cut");
+    judge.set_step(ID, 3);
+    assert!(judge.cut(now, ID));
+    judge.set_step(ID, 5);
+    assert!(!judge.cut(now, ID));
+}
+
+#[test]
+fn a_node_that_hears_nothing_of_control_gives_new_pools_no_calls() {
+    let mut judge = judge();
+    let now = Timestamp::from_secs(1_000);
+    assert!(
+        !judge.cut(now, ID),
+        "it was never told to watch for silence"
+    );
+    judge.confirm(now);
+    assert!(!judge.cut(now + Duration::from_secs(4), ID));
+    assert!(judge.cut(now + Duration::from_secs(6), ID));
+    judge.confirm(now + Duration::from_secs(7));
+    assert!(!judge.cut(now + Duration::from_secs(8), ID));
+}
+
+#[test]
+fn a_report_holds_each_call_once_and_only_of_the_present_step() {
+    let mut judge = judge();
+    let now = record(&mut judge, 1, ANSWERED, ANSWERED);
+    judge.record(now, ID, 2, true, CallResult::Failed);
+    let report = &judge.take_report().moves[&ID];
+    assert_eq!(
+        (report.step, report.old.calls, report.new.calls),
+        (3, 90, 10)
+    );
+    assert_eq!(report.new.failures, 0);
+    assert!(judge.take_report().is_empty());
+}
--- /dev/null
+++ b/trefoillock-moves/tests/moves/postings.rs
@@ -0,0 +1,42 @@
+//! Postings get a new version last.
+
+use trefoillock_core::{MoveEnd, MoveId, MoveState, RouteName, Share};
+
+use crate::bench::Bench;
+
+/// The move of a posting route beside that of a lookup route which stands at `state`.
+fn posting_after(lookup: MoveState, share: f64) -> (MoveState, Share) {
+    let mut bench = Bench::new(300);
+    let mut sibling = bench.action.clone();
+    sibling.id = MoveId::new(2);
+    sibling.state = lookup;
+    sibling.share = Share::from_fraction(share);
+    bench.sibling = Some(sibling);
+    bench.action.route = RouteName::try_from("premiums").expect("valid name");
+    bench.run(30, |_| (1, 1));
+    (bench.action.state, bench.action.share)
+}
+
+#[test]
+fn postings_wait_until_other_routes_have_proved_the_version() {
+    let (_, share) = posting_after(MoveState::Ramping, 0.06);
+    assert_eq!(share, Share::ZERO);
+    let (_, share) = posting_after(MoveState::Ramping, 0.35);
+    assert!(share > Share::ZERO && share <= Share::from_fraction(0.01));
+    let (_, share) = posting_after(MoveState::Done, 1.0);
+    assert!(share > Share::ZERO && share <= Share::from_fraction(0.01));
+}
+
+#[test]
+fn postings_are_taken_back_with_a_route_that_proved_the_version_bad() {
+    let end = MoveEnd::Latency;
+    let (state, share) = posting_after(MoveState::TakenBack { end }, 0.0);
+    assert_eq!((state, share), (MoveState::TakenBack { end }, Share::ZERO));
+}
+
+#[test]
+fn a_cancelled_move_of_another_route_says_nothing_of_the_version() {
+    let end = MoveEnd::Cancelled;
+    let (state, share) = posting_after(MoveState::TakenBack { end }, 0.0);
+    assert!(!state.is_final() && share > Share::ZERO, "{state} {share}");
+}
--- /dev/null
+++ b/trefoillock-stand-ins/tests/moves_matrix.rs
@@ -0,0 +1,100 @@
+//! Versions and faults in virtual time: good versions are done, bad ones are taken back.
+
+use std::time::Duration;
+
+use trefoillock_stand_ins::moves_lab::{Controller, Fault, Scenario, Tally, Version, run};
+
+/// Seeds of each cell.
+const SEEDS: u64 = 2;
+
+fn tally(version: Version, fault: Fault, rate: u32, deadline_s: u64) -> Tally {
+    let mut tally = Tally::default();
+    for seed in 0..SEEDS {
+        let scenario = Scenario {
+            version,
+            fault,
+            rate,
+            deadline: Duration::from_secs(deadline_s),
+            seed,
+        };
+        tally.add(&run(&scenario, Controller::Ours));
+    }
+    tally
+}
+
+fn assert_good(fault: Fault, rate: u32, deadline_s: u64) {
+    let tally = tally(Version::Good, fault, rate, deadline_s);
+    assert!(
+        tally.is_good_met(),
+        "{fault:?}, {rate} calls/s, {deadline_s} s: {tally:?}"
+    );
+}
+
+/// The targets of a bad version but for the time to zero.
+fn bad_misses(version: Version, fault: Fault, rate: u32, deadline_s: u64) -> Vec<String> {
+    let tally = tally(version, fault, rate, deadline_s);
+    let misses = tally.bad_misses(version.is_bad_at_once());
+    let misses = misses.into_iter().filter(|miss| *miss != "time to zero");
+    misses
+        .map(|miss| format!("{version:?} {fault:?} misses {miss}"))
+        .collect()
+}
+
+#[test]
+fn good_versions_are_done_within_five_minutes_under_every_fault() {
+    for fault in Fault::ALL {
+        assert_good(fault, 20, 300);
+    }
+}
+
+#[test]
+fn good_versions_are_done_within_a_minute() {
+    let is_shorter_than_the_fault =
+        |fault: &Fault| matches!(fault, Fault::RegionCut | Fault::LeaderChanges);
+    for fault in Fault::ALL
+        .into_iter()
+        .filter(|f| !is_shorter_than_the_fault(f))
+    {
+        assert_good(fault, 20, 60);
+    }
+}
+
+#[test]
+fn thin_routes_are_done_in_time() {
+    for fault in Fault::ALL {
+        assert_good(fault, 1, 300);
+    }
+}
+
+#[test]
+fn a_health_endpoint_takes_no_good_version_back() {
+    let tally = tally(Version::GoodWithBadHealth, Fault::None, 20, 300);
+    assert!(tally.is_good_met(), "{tally:?}");
+}
+
+#[test]
+fn bad_versions_are_taken_back_from_a_small_share() {
+    let mut misses = Vec::new();
+    for version in Version::BAD {
+        for fault in Fault::ALL
+            .into_iter()
+            .filter(|f| *f != Fault::OldOverloaded)
+        {
+            misses.extend(bad_misses(version, fault, 50, 300));
+        }
+    }
+    assert!(misses.is_empty(), "{misses:#?}");
+}
+
+#[test]
+fn the_naive_version_takes_no_bad_version_back() {
+    let scenario = Scenario {
+        version: Version::FailsAtOnce,
+        fault: Fault::None,
+        rate: 20,
+        deadline: Duration::from_secs(60),
+        seed: 0,
+    };
+    assert!(!run(&scenario, Controller::Naive).is_bad_taken_back());
+    assert!(run(&scenario, Controller::Ours).is_bad_taken_back());
+}
