--- a/trefoillock-moves/src/local_judge.rs
+++ b/trefoillock-moves/src/local_judge.rs
@@ -105,23 +105,44 @@
         state.judge_call(now, is_new, result);
     }
 
+    /// Judges calls that were counted elsewhere, all of one span of time, and returns the moves
+    /// whose new pool is cut from now on. The counts are not reported again.
+    pub fn judge(&mut self, evidence: &Evidence) -> Vec<MoveId> {
+        let mut cuts = Vec::new();
+        for (id, counts) in &evidence.moves {
+            let Some(state) = self.moves.get_mut(id).filter(|state| state.cut.is_none()) else {
+                continue;
+            };
+            state.comparison.add(sample_of(&counts.old, &counts.new));
+            state.cut_if_bad();
+            if state.cut.is_some() {
+                cuts.push(*id);
+            }
+        }
+        cuts
+    }
+
     /// Notes that a live leader confirmed the configuration of this node, directly or through
     /// relays.
     pub const fn confirm(&mut self, now: Timestamp) {
         self.confirmed = Some(now);
     }
 
-    /// Whether this node gives the new pool of a move no calls, whatever its share is: it has cut
-    /// the pool, or control has been silent, so that nobody would take a bad version back.
+    /// Whether control has been silent for so long that nobody would take a bad version back; the
+    /// node then gives no new pool of a move any calls until control is heard again.
     ///
-    /// A cut lasts until control has decided on the move again; silence ends when control is
-    /// heard. A node that [`LocalJudge::confirm`] was never called on does not watch for silence.
+    /// A node that [`LocalJudge::confirm`] was never called on does not watch for silence.
     #[must_use]
-    pub fn cut(&self, now: Timestamp, id: MoveId) -> bool {
-        let is_silent = self
-            .confirmed
-            .is_some_and(|confirmed| now.since(confirmed) > MAX_SILENCE);
-        is_silent || self.moves.get(&id).is_some_and(|state| state.cut.is_some())
+    pub fn is_unsupervised(&self, now: Timestamp) -> bool {
+        self.confirmed
+            .is_some_and(|confirmed| now.since(confirmed) > MAX_SILENCE)
+    }
+
+    /// Whether this node has cut the new pool of a move, so that it gets no calls whatever its
+    /// share is. A cut lasts until control has decided on the move again.
+    #[must_use]
+    pub fn cut(&self, id: MoveId) -> bool {
+        self.moves.get(&id).is_some_and(|state| state.cut.is_some())
     }
 
     /// Takes the evidence since the last report.
@@ -185,6 +206,16 @@
     }
 }
 
+/// The failures of both pools; crashes are left out, for one request can cause them.
+const fn sample_of(old: &PoolEvidence, new: &PoolEvidence) -> Sample {
+    Sample {
+        new_calls: new.calls.saturating_sub(new.crashes),
+        new_events: new.failures.saturating_sub(new.crashes),
+        old_calls: old.calls.saturating_sub(old.crashes),
+        old_events: old.failures.saturating_sub(old.crashes),
+    }
+}
+
 /// Adds a call to the counts of its pool.
 fn count(pool: &mut PoolEvidence, result: CallResult) {
     match result {
--- a/trefoillock-moves/tests/local_judge.rs
+++ b/trefoillock-moves/tests/local_judge.rs
@@ -29,8 +29,8 @@
 #[test]
 fn a_node_cuts_a_pool_that_fails() {
     let mut judge = judge();
-    let now = record(&mut judge, 5, CallResult::Failed, ANSWERED);
-    assert!(judge.cut(now, ID));
+    record(&mut judge, 5, CallResult::Failed, ANSWERED);
+    assert!(judge.cut(ID));
     assert_eq!(judge.take_report().moves[&ID].local_cuts, 1);
     assert!(judge.take_report().is_empty(), "a cut is reported once");
 }
@@ -38,8 +38,8 @@
 #[test]
 fn a_node_cuts_nothing_that_fails_as_often_as_the_old_pool() {
     let mut judge = judge();
-    let now = record(&mut judge, 60, CallResult::Failed, CallResult::Failed);
-    assert!(!judge.cut(now, ID));
+    record(&mut judge, 60, CallResult::Failed, CallResult::Failed);
+    assert!(!judge.cut(ID));
 }
 
 #[test]
@@ -51,21 +51,21 @@
     ];
     for result in results {
         let mut judge = judge();
-        let now = record(&mut judge, 60, result, ANSWERED);
-        assert!(!judge.cut(now, ID), "{result:?}");
+        record(&mut judge, 60, result, ANSWERED);
+        assert!(!judge.cut(ID), "{result:?}");
     }
 }
 
 #[test]
 fn only_a_step_that_control_decided_after_the_cut_ends_it() {
     let mut judge = judge();
-    let now = record(&mut judge, 5, CallResult::Failed, ANSWERED);
+    record(&mut judge, 5, CallResult::Failed, ANSWERED);
     judge.set_step(ID, 4);
-    assert!(judge.cut(now, ID), "step 4 may be older than the cut");
+    assert!(judge.cut(ID), "step 4 may be older than the cut");
     judge.set_step(ID, 3);
-    assert!(judge.cut(now, ID));
+    assert!(judge.cut(ID));
     judge.set_step(ID, 5);
-    assert!(!judge.cut(now, ID));
+    assert!(!judge.cut(ID));
 }
 
 #[test]
@@ -73,14 +73,14 @@
     let mut judge = judge();
     let now = Timestamp::from_secs(1_000);
     assert!(
-        !judge.cut(now, ID),
+        !judge.is_unsupervised(now),
         "it was never told to watch for silence"
     );
     judge.confirm(now);
-    assert!(!judge.cut(now + Duration::from_secs(4), ID));
-    assert!(judge.cut(now + Duration::from_secs(6), ID));
+    assert!(!judge.is_unsupervised(now + Duration::from_secs(4)));
+    assert!(judge.is_unsupervised(now + Duration::from_secs(6)));
     judge.confirm(now + Duration::from_secs(7));
-    assert!(!judge.cut(now + Duration::from_secs(8), ID));
+    assert!(!judge.is_unsupervised(now + Duration::from_secs(8)));
 }
 
 #[test]
--- a/trefoillock-policy/src/guard.rs
+++ b/trefoillock-policy/src/guard.rs
@@ -13,10 +13,11 @@
 //!    and never will.
 //! 3. A guard grants claims of exactly one epoch: the newest that it knows, and only while it
 //!    has promised no newer one.
-//! 4. A guard becomes active in an epoch once a majority of the guards of the previous epoch
-//!    answered its request to copy. By the answer they promise to grant nothing in an older
-//!    epoch. At least one of the answers must be complete for the previous epoch, which means
-//!    that its guard was active in that epoch or a later one.
+//! 4. A guard becomes active in an epoch once so many guards of the previous epoch answered its
+//!    request to copy that no majority is without one of them: two of three, one of two. By the
+//!    answer they promise to grant nothing in an older epoch. At least one of the answers must
+//!    be complete for the previous epoch, which means that its guard was active in that epoch
+//!    or a later one.
 //! 5. A restarted node is another guard: requests name the incarnation they are meant for.
 //!
 //! # Why no key is granted twice
@@ -25,8 +26,8 @@
 //! the key to one claimant only.
 //!
 //! *From one epoch to the next.* Let a majority Q have granted a key in epoch p, and let a guard
-//! become active in the next epoch e. The majority that answered its copy requests shares a
-//! guard with Q. The shared guard granted the key before it made its promise, else rule 3 would
+//! become active in the next epoch e. The guards that answered its copy requests share a guard
+//! with Q. The shared guard granted the key before it made its promise, else rule 3 would
 //! have kept it from granting, so its answer holds the key. If the key was granted before p, the
 //! answer that is complete for p holds it by induction. So each active guard of e knows the key
 //! and refuses other claimants. Where copies name several owners of a key, all are kept, and
@@ -37,7 +38,9 @@
 //! guards. Until [`KEY_WINDOW`] has passed, guards grant no key unless its own time, as embedded
 //! in a `UUIDv7`, is later than `lost_at` by [`CLOCK_SKEW_MARGIN`]. That holds for unknown keys
 //! and also for a claim that asks again for a key which it already holds at a surviving guard:
-//! the dead ones may have granted the key to another claim. Guards that are
+//! the dead ones may have granted the key to another claim. For the same reason no guard says
+//! then that a key was used with another request only, unless that request was answered.
+//! Guards that are
 //! alive and could still form a majority of an older epoch are named as `previous`, so a
 //! majority of them promises before the new set is active; dead guards grant nothing.
 //!
--- a/trefoillock-policy/src/guard/record.rs
+++ b/trefoillock-policy/src/guard/record.rs
@@ -19,6 +19,13 @@
     pub body: Vec<u8>,
 }
 
+impl StoredAnswer {
+    /// The size in memory, without the fixed part, in bytes.
+    fn bytes(&self) -> usize {
+        self.content_type.as_ref().map_or(0, String::len) + self.body.len()
+    }
+}
+
 /// How the call of a key ended.
 #[data]
 pub enum KeyEnd {
@@ -33,6 +40,25 @@
     MayHaveRun,
 }
 
+impl KeyEnd {
+    /// The end without its answer, if the answer takes more than `room` bytes or is larger than
+    /// any that is kept.
+    pub(super) fn within(&self, room: usize) -> Self {
+        match self {
+            Self::Answered {
+                status,
+                stored: Some(stored),
+            } if stored.bytes() > room || stored.body.len() > MAX_STORED_BODY_BYTES => {
+                Self::Answered {
+                    status: *status,
+                    stored: None,
+                }
+            }
+            end => end.clone(),
+        }
+    }
+}
+
 /// The state of a key that is held by another claim.
 #[data]
 pub enum KeyState {
@@ -77,6 +103,19 @@
         self.owners.is_empty() && self.end.is_none()
     }
 
+    /// The bytes of the answer that is kept.
+    pub(super) fn stored_bytes(&self) -> usize {
+        match &self.end {
+            Some(KeyEnd::Answered { stored, .. }) => stored.as_ref().map_or(0, |s| s.bytes()),
+            _ => 0,
+        }
+    }
+
+    /// Whether a call with the key was answered.
+    pub(super) const fn is_answered(&self) -> bool {
+        matches!(self.end, Some(KeyEnd::Answered { .. }))
+    }
+
     /// Whether the claim is the only one that can own the key.
     pub(super) fn is_owned_by(&self, id: ClaimId) -> bool {
         self.end.is_none() && self.owners == [id]
@@ -125,7 +164,7 @@
     /// Notes how the call of an owner ended; an answer goes before any other end.
     pub(super) fn end(&mut self, now: Timestamp, fingerprint: Fingerprint, end: KeyEnd) {
         self.fingerprint = Some(fingerprint);
-        if !matches!(self.end, Some(KeyEnd::Answered { .. })) {
+        if !self.is_answered() {
             self.end = Some(end);
         }
         self.at = self.at.max(now);
@@ -133,8 +172,8 @@
 
     /// Adds what another guard remembers of the same key.
     pub(super) fn merge(&mut self, other: Self) {
-        let own_answered = matches!(self.end, Some(KeyEnd::Answered { .. }));
-        let other_answered = matches!(other.end, Some(KeyEnd::Answered { .. }));
+        let own_answered = self.is_answered();
+        let other_answered = other.is_answered();
         self.fingerprint = match (own_answered, other_answered) {
             (true, false) => self.fingerprint,
             (false, true) => other.fingerprint,
--- a/trefoillock-policy/tests/guard_claim.rs
+++ b/trefoillock-policy/tests/guard_claim.rs
@@ -7,8 +7,9 @@
     RefusalReason, Timestamp,
 };
 use trefoillock_policy::{
-    CLOCK_SKEW_MARGIN, Claim, ClaimId, ClaimLoss, ClaimState, Finish, GuardKeeper, KEY_WINDOW,
-    KeyEnd, KeyHash, MAX_KEYS_PER_SLOT, uuid_v7_time,
+    CLOCK_SKEW_MARGIN, Claim, ClaimId, ClaimLoss, ClaimState, CopyRequest, Finish, GuardKeeper,
+    KEY_WINDOW, KeyEnd, KeyHash, MAX_KEYS_PER_SLOT, MAX_STORED_BODY_BYTES, StoredAnswer,
+    uuid_v7_time,
 };
 
 const NOW: Timestamp = Timestamp::from_secs(1_000_000);
@@ -226,6 +227,7 @@
     guards.ask(NOW, &mut claim, &[0]);
     guards.set.epoch = 2;
     guards.set.lost_at = Some(NOW);
+    guards.set.previous = vec![guard(0)];
     for guard in &mut guards.set.guards[1..] {
         guard.incarnation = Incarnation::new(2);
     }
@@ -237,6 +239,18 @@
         *guard = newest.clone();
         keeper.sync(&table);
     }
+    for at in 1..3 {
+        for (source, request) in guards.keepers[at].1.copy_requests() {
+            let answer = guards.keepers[0].1.copy(NOW, &request);
+            let answer = answer.expect("the survivor answers");
+            guards.keepers[at].1.copied(&source, answer);
+        }
+        assert_eq!(guards.keepers[at].1.acks().len(), 1);
+    }
+    // A majority would say that only this request came with the key.
+    let (_, state) = guards.claim_all(NOW, 1, OTHER_REQUEST);
+    assert_eq!(state, ClaimState::Lost(ClaimLoss::Unknown));
+    claim.restart(&guards.set);
     claim.restart(&guards.set);
     let state = guards.ask(NOW, &mut claim, &[0, 1, 2]);
     assert_eq!(state, ClaimState::Lost(ClaimLoss::Unknown));
@@ -255,6 +269,39 @@
     assert!(guards.keepers.iter().all(|(_, keeper)| keeper.is_empty()));
 }
 
+#[test]
+fn answers_are_kept_and_given_again_within_a_bound() {
+    let mut guards = Guards::new(None);
+    let answered_with = |bytes| {
+        let body = vec![b'x'; bytes];
+        let stored = StoredAnswer {
+            content_type: None,
+            body,
+        };
+        Finish::Ended(KeyEnd::Answered {
+            status: 201,
+            stored: Some(Box::new(stored)),
+        })
+    };
+    let mut kept = |key, bytes| {
+        let (claim, _) = guards.claim_all(NOW, key, REQUEST);
+        guards.finish(NOW, &claim, &answered_with(bytes));
+        let (_, state) = guards.claim_all(NOW, key, REQUEST);
+        match state {
+            ClaimState::Lost(ClaimLoss::Answered {
+                status: 201,
+                stored,
+            }) => stored.map(|stored| stored.body.len()),
+            state => panic!("not answered: {state:?}"),
+        }
+    };
+    assert_eq!(kept(0, MAX_STORED_BODY_BYTES), Some(MAX_STORED_BODY_BYTES));
+    assert_eq!(kept(1, MAX_STORED_BODY_BYTES + 1), None);
+    let all: Vec<_> = (2..1_000).map(|key| kept(key, 1_000)).collect();
+    let bytes: usize = all.iter().flatten().sum();
+    assert!(bytes <= 256 * 1_024 && bytes > 250 * 1_024, "{bytes}");
+}
+
 #[test]
 fn a_full_guard_refuses_instead_of_forgetting() {
     let mut guards = Guards::new(None);
@@ -296,6 +343,61 @@
     assert_eq!((state, claim.requests().len()), (ClaimState::Asking, 3));
 }
 
+#[test]
+fn a_vote_of_an_older_epoch_does_not_count_in_a_newer_one() {
+    let mut guards = Guards::new(None);
+    let mut claim = guards.claim(NOW, 1, REQUEST);
+    let mut late = Vec::new();
+    for (guard, request) in claim.requests() {
+        let found = guards.keepers.iter_mut().find(|(g, _)| *g == guard);
+        let answer = found.expect("a guard").1.claim(NOW, &request);
+        late.push((guard, answer));
+    }
+    guards.set.epoch = 2;
+    claim.restart(&guards.set);
+    for (guard, answer) in late {
+        assert_eq!(*claim.answer(NOW, &guard, answer), ClaimState::Asking);
+    }
+}
+
+/// Guards that never were active promise, but what they remember proves nothing.
+#[test]
+fn copies_of_incomplete_guards_activate_nobody() {
+    let guards = Guards::new(None);
+    let slot = GuardSlot::of_hash(0);
+    let mut set = guards.set.clone();
+    set.epoch = 2;
+    set.previous.clone_from(&set.guards);
+    set.previous_epoch = 1;
+    set.guards = vec![guard(3)];
+    let mut joiner = GuardKeeper::new(guard(3).node, guard(3).incarnation);
+    joiner.sync(&GuardTable::from([(slot, set)]));
+    for (at, (source, request)) in joiner.copy_requests().into_iter().enumerate() {
+        let mut newcomer = GuardKeeper::new(source.node.clone(), source.incarnation);
+        let mut active = guards.keepers[at].1.clone();
+        let answerer = if at < 2 { &mut newcomer } else { &mut active };
+        let answer = answerer.copy(NOW, &request).expect("its own incarnation");
+        joiner.copied(&source, answer);
+        assert_eq!(joiner.acks().len(), usize::from(at == 2));
+    }
+}
+
+#[test]
+fn a_guard_that_promised_grants_nothing_in_the_older_epoch() {
+    let mut guards = Guards::new(None);
+    let mut claim = guards.claim(NOW, 1, REQUEST);
+    for at in 0..2 {
+        let request = CopyRequest {
+            to: Incarnation::new(1),
+            slot: GuardSlot::of_hash(0),
+            epoch: 2,
+        };
+        assert!(guards.keepers[at].1.copy(NOW, &request).is_some());
+    }
+    let state = guards.ask(NOW, &mut claim, &[0, 1, 2]);
+    assert_eq!(state, ClaimState::Stale { epoch: 2 });
+}
+
 #[test]
 fn only_uuids_of_version_7_have_a_time() {
     let key = "01935f4a-7c00-7abc-8def-0123456789ab";
--- a/trefoillock-stand-ins/src/moves_lab/cluster.rs
+++ b/trefoillock-stand-ins/src/moves_lab/cluster.rs
@@ -236,7 +236,8 @@
         let node = self.rng.random_range(0..NODES);
         let view = self.nodes[node].views[route];
         let draw = self.rng.random_range(0..Share::PARTS);
-        let is_cut = self.nodes[node].judge.cut(self.now(), id_of(route));
+        let is_cut = self.nodes[node].judge.cut(id_of(route))
+            || self.nodes[node].judge.is_unsupervised(self.now());
         let is_new = view.share.takes(draw) && !is_cut;
         let result = if is_new {
             self.new_call(route, up, is_poison)
@@ -457,7 +458,8 @@
         let is_open = |node: &Node, route: usize| {
             version.is_bad_on(route)
                 && node.views[route].share > Share::ZERO
-                && !node.judge.cut(now, id_of(route))
+                && !node.judge.cut(id_of(route))
+                && !node.judge.is_unsupervised(now)
         };
         let any_open = self
             .nodes
