feat(calls): prove planned stops, drains, cuts and crashing requests; measure against a naive proxy

Cause: a crash used up the retry budget, since its backend server stayed listed until its lease ran out. Change: a refused connection shows at once that a process is gone: its lease ends, and calls go elsewhere without cost to the budget.

--- a/trefoillock-backend/src/announcements.rs
+++ b/trefoillock-backend/src/announcements.rs
@@ -130,6 +130,12 @@
         before != self.leases.len()
     }
 
+    /// Drops the lease of a backend server whose process is gone. It takes a new lease with its
+    /// next announcement. Returns whether the list has changed.
+    pub fn remove(&mut self, address: SocketAddr) -> bool {
+        self.leases.remove(&address).is_some()
+    }
+
     /// The announcements that hold a lease, ordered by address.
     #[must_use]
     pub fn list(&self) -> Vec<Announcement> {
--- a/trefoillock-backend/src/interface.rs
+++ b/trefoillock-backend/src/interface.rs
@@ -76,7 +76,7 @@
         self.change(|state| state.report_load(address, load).map(|()| false))
     }
 
-    /// Drops leases that have run out, until `stop` is cancelled.
+    /// Drops leases that have run out, and those of crashed backend servers, until `stop` is cancelled.
     pub async fn watch_leases(&self, stop: CancellationToken) {
         while stop
             .run_until_cancelled(tokio::time::sleep(LEASE_CHECK))
@@ -84,7 +84,13 @@
             .is_some()
         {
             let now = self.clock.now();
-            let _ = self.change(|state| Ok(state.expire(now)));
+            let _ = self.change(|state| {
+                let mut changed = state.expire(now);
+                for address in self.servers.crashed() {
+                    changed |= state.remove(address);
+                }
+                Ok(changed)
+            });
         }
     }
 
--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -1,6 +1,7 @@
 //! The calls to one backend server.
 
 use std::{
+    io::ErrorKind,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -87,7 +88,7 @@
     pub(crate) fn continues(&self, next: &Announcement) -> bool {
         let mut held = self.announcement.clone();
         held.state = next.state;
-        held == *next && !self.crashed.load(Ordering::Relaxed)
+        held == *next && !self.is_crashed()
     }
 
     /// Takes over the announced state.
@@ -95,6 +96,12 @@
         self.slots.set_draining(state == MemberState::Draining);
     }
 
+    /// Whether the process was found not to accept connections any more.
+    #[must_use]
+    pub fn is_crashed(&self) -> bool {
+        self.crashed.load(Ordering::Acquire)
+    }
+
     /// Whether new work may be sent.
     ///
     /// # Errors
@@ -104,8 +111,8 @@
         if self.slots.is_draining() {
             return Err(RefusalReason::Draining);
         }
-        if self.crashed.load(Ordering::Acquire) {
-            return Err(RefusalReason::Unreachable);
+        if self.is_crashed() {
+            return Err(RefusalReason::Draining);
         }
         Ok(())
     }
@@ -152,6 +159,10 @@
         let opening = Connection::open(self.announcement.address, open);
         match timeout_at(until, opening).await {
             Ok(Ok(conn)) => Ok(conn),
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                self.crashed.store(true, Ordering::Release);
+                Err(RefusalReason::Draining)
+            }
             Err(_) if until == limits.deadline => Err(RefusalReason::Deadline),
             Ok(Err(_)) | Err(_) => Err(RefusalReason::Unreachable),
         }
--- a/trefoillock-backend/src/local_servers.rs
+++ b/trefoillock-backend/src/local_servers.rs
@@ -40,6 +40,14 @@
         servers.get(&address).cloned()
     }
 
+    /// The addresses of the backend servers whose process was found to be gone.
+    #[must_use]
+    pub fn crashed(&self) -> Vec<SocketAddr> {
+        let servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        let crashed = servers.iter().filter(|(_, server)| server.is_crashed());
+        crashed.map(|(address, _)| *address).collect()
+    }
+
     /// Takes over a list of announcements. A backend server in a new incarnation starts with no
     /// connections; calls in flight to the earlier one go on.
     pub fn update(&self, list: &[Announcement]) {
--- a/trefoillock-caller/src/flight.rs
+++ b/trefoillock-caller/src/flight.rs
@@ -70,7 +70,6 @@
         self.result = match (failure.reason(), failure.execution()) {
             (RefusalReason::Overloaded | RefusalReason::RefusedByServer, _)
             | (RefusalReason::Deadline, Execution::DidNotRun(_)) => CallResult::Overloaded,
-            (RefusalReason::Draining, _) => CallResult::Cancelled,
             _ => CallResult::Failed,
         };
     }
--- a/trefoillock-node/src/peer_clients.rs
+++ b/trefoillock-node/src/peer_clients.rs
@@ -137,6 +137,10 @@
         };
         match timeout_at(until, opening).await {
             Ok(Ok(sender)) => Ok(sender),
+            // The process of the node is gone.
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Err(not_sent(RefusalReason::Draining))
+            }
             Err(_) if until == deadline => Err(not_sent(RefusalReason::Deadline)),
             Ok(Err(_)) | Err(_) => Err(not_sent(RefusalReason::Unreachable)),
         }
--- /dev/null
+++ b/trefoillock-stand-ins/examples/calls/faults.rs
@@ -0,0 +1,194 @@
+//! What goes wrong when backend servers fail in many ways and callers send again.
+
+use std::{error::Error, net::SocketAddr, time::Duration};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+use tokio::task::JoinSet;
+use trefoillock_core::Outcome;
+use trefoillock_stand_ins::{
+    backend_server::{BackendServerConfig, Fault, FaultStep, RunLog},
+    call_bench::CallBench,
+    caller::{Caller, CallerRequest, Report},
+};
+
+use crate::mesh::Sides;
+
+/// The number of backend servers.
+const SERVERS: usize = 6;
+/// The number of callers.
+const CALLERS: u32 = 12;
+/// The calls of each caller.
+const CALLS: u32 = 50;
+/// The sends of one call.
+const SENDS: u32 = 3;
+/// The pause before a call is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(50);
+/// The time between two faults.
+const FAULT_INTERVAL: Duration = Duration::from_millis(15);
+/// The time after which a backend server that crashed starts again.
+const RESTART_AFTER: Duration = Duration::from_millis(150);
+/// The seed of the faults and calls.
+const SEED: u64 = 20_261_203;
+
+#[derive(Debug, Default, Serialize)]
+struct Counts {
+    calls: u32,
+    answered: u32,
+    /// Postings that ran more than once.
+    doubles: u32,
+    /// Sends that were said not to have run, but ran. Of the naive version, a 503 says that.
+    false_refusals: u32,
+    /// Answers that looked whole and were not, or belonged to another request.
+    wrong_answers: u32,
+    /// Exports that broke off in mid-body in every send.
+    cut_exports: u32,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct Figures {
+    ours: Counts,
+    naive: Counts,
+}
+
+pub(crate) async fn measure() -> Result<Figures, Box<dyn Error>> {
+    let server = BackendServerConfig::new("treaty-desk", "1")?
+        .service_time(Duration::from_millis(2))
+        .connect_delay(Duration::from_millis(1));
+    let sides = Sides::start(&server, SERVERS).await?;
+    let entries: Vec<SocketAddr> = (0..=SERVERS).map(|at| sides.ours.entry(at)).collect();
+    let ours = run(&sides.ours, &entries).await;
+    let naive = run(&sides.naive_servers, &[sides.naive.address()]).await;
+    Ok(Figures { ours, naive })
+}
+
+async fn run(bench: &CallBench, entries: &[SocketAddr]) -> Counts {
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let (entries, log) = (entries.to_vec(), bench.log().clone());
+        callers.spawn(async move { calls(number, &entries, &log).await });
+    }
+    let counts = tokio::select! {
+        counts = callers.join_all() => counts,
+        () = faults(bench) => Vec::new(),
+    };
+    let mut sum = Counts::default();
+    for counts in counts {
+        sum.calls += counts.calls;
+        sum.answered += counts.answered;
+        sum.false_refusals += counts.false_refusals;
+        sum.wrong_answers += counts.wrong_answers;
+        sum.cut_exports += counts.cut_exports;
+    }
+    let doubled = bench.log().doubled(|id| id.starts_with("posting"));
+    sum.doubles = u32::try_from(doubled.len()).unwrap_or(u32::MAX);
+    sum
+}
+
+/// Lets faults happen, one after the other, and restarts what crashed.
+async fn faults(bench: &CallBench) {
+    let mut rng = Pcg64Mcg::seed_from_u64(SEED);
+    loop {
+        tokio::time::sleep(FAULT_INTERVAL).await;
+        let step = FaultStep::ALL[rng.random_range(0..FaultStep::ALL.len())];
+        let fault = match rng.random_range(0..6) {
+            0 => Fault::Crash,
+            1 | 2 => Fault::Reset,
+            3 => Fault::Pause(Duration::from_millis(400)),
+            4 => Fault::PauseAndReset(Duration::from_millis(30)),
+            _ => Fault::ServerError,
+        };
+        bench.faults().arm(step, fault);
+        for at in 1..=SERVERS {
+            if let Some(server) = bench.server(at).filter(|server| !server.is_up()) {
+                tokio::spawn(async move {
+                    tokio::time::sleep(RESTART_AFTER).await;
+                    if !server.is_up() {
+                        let _ = server.restart().await;
+                    }
+                });
+            }
+        }
+    }
+}
+
+async fn calls(number: u32, entries: &[SocketAddr], log: &RunLog) -> Counts {
+    let mut rng = Pcg64Mcg::seed_from_u64(SEED + u64::from(number));
+    let caller = Caller::new(Duration::from_secs(10));
+    let mut counts = Counts::default();
+    for n in 0..CALLS {
+        let request = request(n, &format!("{number}-{n}"));
+        counts.calls += 1;
+        let mut last = None;
+        for _ in 0..SENDS {
+            let entry = entries[rng.random_range(0..entries.len())];
+            let runs = log.runs(&request.id);
+            let report = caller.call(entry, &request).await;
+            counts.wrong_answers += u32::from(report.wrong);
+            counts.false_refusals +=
+                u32::from(says_did_not_run(&report) && log.runs(&request.id) > runs);
+            let done = is_answered(&report);
+            last = Some(report);
+            if done {
+                counts.answered += 1;
+                break;
+            }
+            tokio::time::sleep(RESEND_PAUSE).await;
+        }
+        let cut = last.is_some_and(|report| report.cut);
+        counts.cut_exports += u32::from(cut && request.id.starts_with("export"));
+    }
+    counts
+}
+
+fn request(n: u32, id: &str) -> CallerRequest {
+    match n % 3 {
+        0 => {
+            CallerRequest::get(format!("/positions/{id}"), format!("lookup-{id}")).deadline_ms(300)
+        }
+        1 => CallerRequest::post(format!("/claims/{id}"), format!("posting-{id}"), "notify")
+            .key(format!("key-{id}")),
+        _ => CallerRequest::get(
+            format!("/exports/{id}?bytes=300000"),
+            format!("export-{id}"),
+        ),
+    }
+}
+
+fn is_answered(report: &Report) -> bool {
+    report.outcome == Outcome::Answered && report.status.is_some_and(|status| status.is_success())
+}
+
+/// Whether the answer says that the call did not run: by our header, or for the naive version
+/// by its status.
+fn says_did_not_run(report: &Report) -> bool {
+    let unavailable = report.status.is_some_and(|status| status == 503);
+    report.outcome == Outcome::DidNotRun || (unavailable && report.outcome == Outcome::Answered)
+}
+
+impl Figures {
+    pub(crate) fn print(&self) {
+        println!("Under a mix of faults, callers sending up to {SENDS} times");
+        println!("                     trefoillock   naive");
+        let rows = [
+            ("calls", self.ours.calls, self.naive.calls),
+            ("answered", self.ours.answered, self.naive.answered),
+            ("doubled postings", self.ours.doubles, self.naive.doubles),
+            (
+                "false refusals",
+                self.ours.false_refusals,
+                self.naive.false_refusals,
+            ),
+            (
+                "wrong answers",
+                self.ours.wrong_answers,
+                self.naive.wrong_answers,
+            ),
+            ("cut exports", self.ours.cut_exports, self.naive.cut_exports),
+        ];
+        for (name, ours, naive) in rows {
+            println!("  {name:<18} {ours:>11} {naive:>7}");
+        }
+    }
+}
--- a/trefoillock-stand-ins/src/backend_server/connection.rs
+++ b/trefoillock-stand-ins/src/backend_server/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a stand-in backend server.
 
-use std::{fmt::Write, io, ops::Range, sync::Arc};
+use std::{fmt::Write, io, ops::Range, sync::Arc, time::Duration};
 
 use tokio::{
     io::{AsyncWriteExt, BufReader},
@@ -38,7 +38,8 @@
     stop: CancellationToken,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    sleep(state.config.connect_delay).await;
+    let _open = state.count_open();
+    pause(state.config.connect_delay).await;
     let (rx, tx) = stream.into_split();
     let mut conn = Connection {
         state,
@@ -53,6 +54,13 @@
     Ok(())
 }
 
+/// Waits for a time; no time takes none, where a timer would take up to a millisecond.
+async fn pause(span: Duration) {
+    if !span.is_zero() {
+        sleep(span).await;
+    }
+}
+
 struct Connection {
     state: Arc<State>,
     rx: BufReader<OwnedReadHalf>,
@@ -74,7 +82,7 @@
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             Some(Fault::SilentDrop) => {
-                self.stop.cancelled().await;
+                self.hold().await;
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
             Some(Fault::Pause(span)) => sleep(span).await,
@@ -93,7 +101,17 @@
         Ok(Next::Continue)
     }
 
+    /// Does nothing until the other side has closed the connection.
+    async fn hold(&mut self) {
+        let mut sink = tokio::io::sink();
+        tokio::select! {
+            () = self.stop.cancelled() => {}
+            _ = tokio::io::copy(&mut self.rx, &mut sink) => {}
+        }
+    }
+
     async fn answer(&mut self, head: &Head) -> io::Result<()> {
+        self.state.count_received();
         let mut body = BodyLeft::of(head);
         body.read_half(&mut self.rx).await?;
         let next = self.step(FaultStep::HalfRequest).await?;
@@ -120,7 +138,7 @@
             self.state.crash();
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        sleep(self.state.config.service_time).await;
+        pause(self.state.config.service_time).await;
         Ok(())
     }
 
--- a/trefoillock-stand-ins/src/backend_server/server.rs
+++ b/trefoillock-stand-ins/src/backend_server/server.rs
@@ -102,6 +102,9 @@
     slots: Semaphore,
     incarnation: AtomicU64,
     waited: AtomicU64,
+    received: AtomicU64,
+    open: AtomicU64,
+    most_open: AtomicU64,
     draining: AtomicBool,
     run: Mutex<CancellationToken>,
 }
@@ -116,6 +119,18 @@
         self.slots.acquire().await.ok()
     }
 
+    /// Counts a call whose head was read.
+    pub(crate) fn count_received(&self) {
+        self.received.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts an open connection; the returned value is to be kept while it is open.
+    pub(crate) fn count_open(self: &Arc<Self>) -> OpenCount {
+        let open = self.open.fetch_add(1, Ordering::Relaxed) + 1;
+        self.most_open.fetch_max(open, Ordering::Relaxed);
+        OpenCount(self.clone())
+    }
+
     /// Ends the present run: all connections and the listening socket close.
     pub(crate) fn crash(&self) {
         let run = self.run.lock().unwrap_or_else(PoisonError::into_inner);
@@ -123,6 +138,15 @@
     }
 }
 
+/// Counts the end of a connection when it is dropped.
+pub(crate) struct OpenCount(Arc<State>);
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A backend server on a loopback socket. It ends when it is dropped.
 #[derive(Debug)]
 pub struct BackendServer {
@@ -147,6 +171,9 @@
             slots,
             incarnation: AtomicU64::new(1),
             waited: AtomicU64::new(0),
+            received: AtomicU64::new(0),
+            open: AtomicU64::new(0),
+            most_open: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             run: Mutex::new(CancellationToken::new()),
         });
@@ -191,6 +218,18 @@
         self.state.waited.load(Ordering::Relaxed)
     }
 
+    /// The number of calls whose head was read.
+    #[must_use]
+    pub fn received(&self) -> u64 {
+        self.state.received.load(Ordering::Relaxed)
+    }
+
+    /// The largest number of connections that were open at once.
+    #[must_use]
+    pub fn most_connections(&self) -> u64 {
+        self.state.most_open.load(Ordering::Relaxed)
+    }
+
     /// Ends the process: all connections and the listening socket close.
     pub fn crash(&self) {
         self.state.crash();
