--- a/trefoillock-stand-ins/src/lib.rs
+++ b/trefoillock-stand-ins/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`backend_server`]: a backend server on a loopback socket, with faults at every step of a
 //!   call and a log of every run.
 //! - [`caller`]: a caller that checks that an answer is whole and its own.
+//! - [`naive_proxy`]: the baseline of the measurements of calls.
 //! - [`call_bench`]: a mesh for tests of calls, with shared faults and members that follow.
 //! - [`call_mesh`]: nodes and backend servers in one process.
 //! - [`demo`]: whole daemons in one process, with faults on the way and each promise checked.
@@ -17,3 +18,4 @@
 pub mod demo;
 pub mod fleet;
 pub mod moves_lab;
+pub mod naive_proxy;
