--- a/trefoillock-stand-ins/tests/moves_matrix.rs
+++ b/trefoillock-stand-ins/tests/moves_matrix.rs
@@ -92,7 +92,7 @@
         version: Version::FailsAtOnce,
         fault: Fault::None,
         rate: 20,
-        deadline: Duration::from_secs(60),
+        deadline: Duration::from_mins(1),
         seed: 0,
     };
     assert!(!run(&scenario, Controller::Naive).is_bad_taken_back());
