feat(policy): tell a stopping node whether it still guards keys

Cause: nodes that restart one after another lose the keys of a slot if two of its guards go before the set is settled. Figures: a leaving node of six is relieved of all its slots without a loss (test). Conclusion: the shell of the node can stop without a double fault.

--- a/trefoillock-policy/src/guard/keeper.rs
+++ b/trefoillock-policy/src/guard/keeper.rs
@@ -59,7 +59,7 @@
             let keeper = self.slots.entry(slot).or_default();
             keeper.adopt(set, &self.node, self.incarnation);
         } else if let Some(keeper) = self.slots.get_mut(&slot) {
-            keeper.promise(set.epoch);
+            keeper.resign(set);
         }
     }
 
@@ -143,6 +143,15 @@
         active.map(ack).collect()
     }
 
+    /// The number of slots whose newest guard set names this node. A node that is to stop and is
+    /// left out of the live nodes is replaced slot by slot; once this is zero, its stop costs no
+    /// guard. Without a spare node it does not become zero, so the wait must be bounded.
+    #[must_use]
+    pub fn duties(&self) -> usize {
+        let keepers = self.slots.values();
+        keepers.filter(|keeper| keeper.is_guard()).count()
+    }
+
     /// The number of keys that are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/trefoillock-policy/src/guard/planner.rs
+++ b/trefoillock-policy/src/guard/planner.rs
@@ -177,6 +177,7 @@
         let mut guards = set.guards.clone();
         guards.retain(|guard| guard != gone);
         let restarted = self.live.get(&gone.node).copied();
+        let restarted = restarted.filter(|own| own.incarnation > gone.incarnation);
         if let Some(own) = restarted.filter(|own| guards.iter().all(|g| g.node != own.node)) {
             guards.push(own.clone());
             return guards;
--- a/trefoillock-policy/src/guard/slot_keeper.rs
+++ b/trefoillock-policy/src/guard/slot_keeper.rs
@@ -22,6 +22,8 @@
 pub(super) struct SlotKeeper {
     /// The newest epoch of which this node is a guard.
     epoch: u64,
+    /// Whether the newest set that is known names this node.
+    is_guard: bool,
     /// The epoch below which nothing is granted.
     promised: u64,
     /// The newest epoch in which the guard was active.
@@ -45,6 +47,7 @@
         if set.epoch <= self.epoch {
             return;
         }
+        self.is_guard = true;
         self.epoch = set.epoch;
         self.promise(set.epoch);
         self.previous.clone_from(&set.previous);
@@ -59,6 +62,19 @@
         self.activate_if_copied();
     }
 
+    /// Takes a newer guard set that does not name this node.
+    pub(super) fn resign(&mut self, set: &GuardSet) {
+        if set.epoch > self.epoch {
+            self.is_guard = false;
+            self.promise(set.epoch);
+        }
+    }
+
+    /// Whether the newest set that is known names this node.
+    pub(super) const fn is_guard(&self) -> bool {
+        self.is_guard
+    }
+
     /// Grants nothing in an epoch below `epoch` any more.
     pub(super) fn promise(&mut self, epoch: u64) {
         self.promised = self.promised.max(epoch);
--- a/trefoillock-policy/tests/guard_planner.rs
+++ b/trefoillock-policy/tests/guard_planner.rs
@@ -5,7 +5,7 @@
 use trefoillock_core::{
     DataCentre, GUARD_SLOTS, Guard, GuardSlot, GuardTable, Incarnation, NodeId, Timestamp,
 };
-use trefoillock_policy::{DeadGuards, GuardAck, GuardAcks, plan_guards};
+use trefoillock_policy::{DeadGuards, GuardAck, GuardAcks, GuardKeeper, plan_guards};
 
 const NOW: Timestamp = Timestamp::from_secs(1_000);
 
@@ -157,6 +157,27 @@
     }
 }
 
+/// A planned stop: the node is left out of the live ones and stops when it has no duty left.
+#[test]
+fn a_leaving_node_is_relieved_of_all_slots_without_a_loss() {
+    let mut table = GuardTable::new();
+    settle(&mut table, &guards(6));
+    let mut keeper = GuardKeeper::new(guard(5, 1).node, Incarnation::new(1));
+    keeper.sync(&table);
+    let duties = table
+        .values()
+        .filter(|set| set.guards.contains(&guard(5, 1)));
+    assert_eq!(keeper.duties(), duties.count());
+    settle(&mut table, &guards(5));
+    keeper.sync(&table);
+    assert_eq!(keeper.duties(), 0);
+    assert!(
+        table
+            .values()
+            .all(|set| set.lost_at.is_none() && set.guards.len() == 3)
+    );
+}
+
 #[test]
 fn an_unsettled_set_is_left_alone() {
     let mut table = GuardTable::new();
