--- a/trefoillock-moves/src/lib.rs
+++ b/trefoillock-moves/src/lib.rs
@@ -1,4 +1,4 @@
-//! Decisions on moves: the pace of a move, the judge of versions and the rules for edits.
+//! Decisions on moves: the pace of a move and the judge of versions.
 //!
 //! This package stands above `trefoillock-core`. It is pure: evidence and the present time go
 //! in, steps of moves come out. The leader of the control replicas holds a [`MoveController`];
@@ -15,19 +15,24 @@
 //! assert!(steps.is_empty());
 //! ```
 
+mod baseline;
 mod comparison;
 mod controller;
+mod evidence_test;
 mod judge;
 mod local_judge;
+mod mixture;
 mod node_report;
 mod plan;
-mod rules;
+mod pool_judge;
+mod sample;
+mod scene;
 mod servers;
+mod siblings;
 mod track;
 
-pub use comparison::{Comparison, Sample};
+pub use comparison::Comparison;
 pub use controller::MoveController;
-pub use judge::{Judge, Verdict};
 pub use local_judge::{CallResult, LocalJudge};
 pub use node_report::NodeReport;
-pub use rules::{MovesOfEdit, cancel_step, moves_of_edit, start_move};
+pub use sample::Sample;
--- a/trefoillock-moves/src/local_judge.rs
+++ b/trefoillock-moves/src/local_judge.rs
@@ -4,7 +4,7 @@
 
 use trefoillock_core::{Config, Evidence, MoveEvidence, MoveId, PoolEvidence, Timestamp};
 
-use crate::comparison::{Comparison, Sample};
+use crate::{comparison::Comparison, sample::Sample};
 
 /// The probability that a node ever cuts a good version.
 const FALSE_CUT: f64 = 1e-7;
@@ -13,6 +13,8 @@
 /// The number of steps after which a cut ends. The first step after a cut may have been
 /// decided before control saw the cut; the second one was not.
 const STEPS_TO_CLEAR: u32 = 2;
+/// The silence of control after which a node gives new pools no calls.
+const MAX_SILENCE: Duration = Duration::from_secs(5);
 
 /// How a call of a route on the move ended, as the node that took it in saw it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +50,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct LocalJudge {
     moves: BTreeMap<MoveId, LocalMove>,
+    confirmed: Option<Timestamp>,
 }
 
 impl LocalJudge {
@@ -102,7 +105,41 @@
         state.judge_call(now, is_new, result);
     }
 
-    /// Whether this node gives the new pool of a move no calls, whatever its share is.
+    /// Judges calls that were counted elsewhere, all of one span of time, and returns the moves
+    /// whose new pool is cut from now on. The counts are not reported again.
+    pub fn judge(&mut self, evidence: &Evidence) -> Vec<MoveId> {
+        let mut cuts = Vec::new();
+        for (id, counts) in &evidence.moves {
+            let Some(state) = self.moves.get_mut(id).filter(|state| state.cut.is_none()) else {
+                continue;
+            };
+            state.comparison.add(sample_of(&counts.old, &counts.new));
+            state.cut_if_bad();
+            if state.cut.is_some() {
+                cuts.push(*id);
+            }
+        }
+        cuts
+    }
+
+    /// Notes that a live leader confirmed the configuration of this node, directly or through
+    /// relays.
+    pub const fn confirm(&mut self, now: Timestamp) {
+        self.confirmed = Some(now);
+    }
+
+    /// Whether control has been silent for so long that nobody would take a bad version back; the
+    /// node then gives no new pool of a move any calls until control is heard again.
+    ///
+    /// A node that [`LocalJudge::confirm`] was never called on does not watch for silence.
+    #[must_use]
+    pub fn is_unsupervised(&self, now: Timestamp) -> bool {
+        self.confirmed
+            .is_some_and(|confirmed| now.since(confirmed) > MAX_SILENCE)
+    }
+
+    /// Whether this node has cut the new pool of a move, so that it gets no calls whatever its
+    /// share is. A cut lasts until control has decided on the move again.
     #[must_use]
     pub fn cut(&self, id: MoveId) -> bool {
         self.moves.get(&id).is_some_and(|state| state.cut.is_some())
@@ -169,6 +206,16 @@
     }
 }
 
+/// The failures of both pools; crashes are left out, for one request can cause them.
+const fn sample_of(old: &PoolEvidence, new: &PoolEvidence) -> Sample {
+    Sample {
+        new_calls: new.calls.saturating_sub(new.crashes),
+        new_events: new.failures.saturating_sub(new.crashes),
+        old_calls: old.calls.saturating_sub(old.crashes),
+        old_events: old.failures.saturating_sub(old.crashes),
+    }
+}
+
 /// Adds a call to the counts of its pool.
 fn count(pool: &mut PoolEvidence, result: CallResult) {
     match result {
--- a/trefoillock-policy/src/guard/planner.rs
+++ b/trefoillock-policy/src/guard/planner.rs
@@ -108,7 +108,7 @@
 
     /// The next set of a slot, if it has to change.
     fn next(&mut self, slot: GuardSlot, set: &GuardSet) -> Option<GuardSet> {
-        let settled = self.acks.is_settled(slot, set);
+        let settled = self.is_settled(slot, set);
         if self.has_dead_majority(&set.guards) {
             let older = if settled {
                 &[]
@@ -177,6 +177,7 @@
         let mut guards = set.guards.clone();
         guards.retain(|guard| guard != gone);
         let restarted = self.live.get(&gone.node).copied();
+        let restarted = restarted.filter(|own| own.incarnation > gone.incarnation);
         if let Some(own) = restarted.filter(|own| guards.iter().all(|g| g.node != own.node)) {
             guards.push(own.clone());
             return guards;
@@ -281,10 +282,18 @@
             || self.dead.contains(&(guard.node.clone(), guard.incarnation))
     }
 
-    /// Whether the guards that are not proved dead are too few for a majority.
+    /// Whether a set can be changed: a majority of its guards is active, or all that are not
+    /// dead are, and no majority could have granted a key without one of them.
+    fn is_settled(&self, slot: GuardSlot, set: &GuardSet) -> bool {
+        let mut alive = set.guards.iter().filter(|guard| !self.is_dead(guard));
+        let all_alive = alive.all(|guard| self.acks.is_active(slot, set.epoch, guard));
+        self.acks.is_settled(slot, set) || (all_alive && !self.has_dead_majority(&set.guards))
+    }
+
+    /// Whether so many guards are proved dead that they may have been a majority.
     fn has_dead_majority(&self, guards: &[Guard]) -> bool {
-        let alive = guards.iter().filter(|guard| !self.is_dead(guard)).count();
-        alive < guards.len() / 2 + 1
+        let dead = guards.iter().filter(|guard| self.is_dead(guard)).count();
+        dead > guards.len() / 2
     }
 
     /// The time of the last loss, as long as it matters.
--- a/trefoillock-stand-ins/src/backend_server/connection.rs
+++ b/trefoillock-stand-ins/src/backend_server/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a stand-in backend server.
 
-use std::{fmt::Write, io, ops::Range, sync::Arc};
+use std::{fmt::Write, io, ops::Range, sync::Arc, time::Duration};
 
 use tokio::{
     io::{AsyncWriteExt, BufReader},
@@ -38,7 +38,8 @@
     stop: CancellationToken,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    sleep(state.config.connect_delay).await;
+    let _open = state.count_open();
+    pause(state.config.connect_delay).await;
     let (rx, tx) = stream.into_split();
     let mut conn = Connection {
         state,
@@ -53,6 +54,13 @@
     Ok(())
 }
 
+/// Waits for a time; no time takes none, where a timer would take up to a millisecond.
+async fn pause(span: Duration) {
+    if !span.is_zero() {
+        sleep(span).await;
+    }
+}
+
 struct Connection {
     state: Arc<State>,
     rx: BufReader<OwnedReadHalf>,
@@ -63,7 +71,7 @@
 impl Connection {
     /// Lets the fault of a step happen, if one is set.
     async fn step(&mut self, step: FaultStep) -> io::Result<Next> {
-        match self.state.take_fault(step) {
+        match self.state.config.faults.take(step) {
             None => {}
             Some(Fault::Crash) => {
                 self.state.crash();
@@ -74,18 +82,36 @@
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             Some(Fault::SilentDrop) => {
-                self.stop.cancelled().await;
+                self.hold().await;
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
             Some(Fault::Pause(span)) => sleep(span).await,
-            Some(Fault::Gate(gate)) => gate.pass().await,
+            Some(Fault::PauseAndReset(span)) => {
+                sleep(span).await;
+                self.tx.as_ref().set_zero_linger()?;
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            Some(Fault::Gate(gate)) => gate.pass(self.state.address).await,
             Some(Fault::Refuse) => return Ok(Next::Refuse),
             Some(Fault::ServerError) => return Ok(Next::ServerError),
         }
+        if self.stop.is_cancelled() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         Ok(Next::Continue)
     }
 
+    /// Does nothing until the other side has closed the connection.
+    async fn hold(&mut self) {
+        let mut sink = tokio::io::sink();
+        tokio::select! {
+            () = self.stop.cancelled() => {}
+            _ = tokio::io::copy(&mut self.rx, &mut sink) => {}
+        }
+    }
+
     async fn answer(&mut self, head: &Head) -> io::Result<()> {
+        self.state.count_received();
         let mut body = BodyLeft::of(head);
         body.read_half(&mut self.rx).await?;
         let next = self.step(FaultStep::HalfRequest).await?;
@@ -96,7 +122,8 @@
             return self.refuse().await;
         }
         self.run(head).await?;
-        if matches!(self.step(FaultStep::RequestSent).await?, Next::ServerError) {
+        let next = self.step(FaultStep::RequestSent).await?;
+        if matches!(next, Next::ServerError) || self.state.fails_by_count() {
             return self.server_error().await;
         }
         self.write_answer(head).await?;
@@ -112,7 +139,7 @@
             self.state.crash();
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        sleep(self.state.config.service_time).await;
+        pause(self.state.config.service_time).await;
         Ok(())
     }
 
@@ -131,6 +158,7 @@
         let length = head.parameter("bytes").unwrap_or(DEFAULT_BYTES);
         let etag = format!("\"{}-{length}\"", self.state.config.etag);
         let range = wanted_range(head, length, &etag);
+        let is_partial = range.is_some();
         let (status, range) = match range {
             Some(range) => ("206 Partial Content", range),
             None => ("200 OK", 0..length),
@@ -139,8 +167,8 @@
         let mut text = format!(
             "HTTP/1.1 {status}\r\n{ANSWER_FOR}: {id}\r\netag: {etag}\r\naccept-ranges: bytes\r\n"
         );
-        if range.start > 0 {
-            let last = length.saturating_sub(1);
+        if is_partial {
+            let last = range.end.saturating_sub(1);
             let _ = write!(
                 text,
                 "content-range: bytes {}-{last}/{length}\r\n",
