--- a/trefoillock-stand-ins/src/demo/announcer.rs
+++ b/trefoillock-stand-ins/src/announcer.rs
@@ -18,7 +18,7 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Announces a backend server to a node until it leaves.
-pub(crate) struct Announcer {
+pub struct Announcer {
     server: Arc<BackendServer>,
     node: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
@@ -26,8 +26,11 @@
 }
 
 impl Announcer {
-    /// Starts to announce a backend server.
-    pub(crate) fn start(server: Arc<BackendServer>, node: SocketAddr) -> Self {
+    /// Starts to announce a backend server to the node whose interface has this address.
+    ///
+    /// It must be called within a tokio runtime.
+    #[must_use]
+    pub fn start(server: Arc<BackendServer>, node: SocketAddr) -> Self {
         let client = Client::builder(TokioExecutor::new()).build_http();
         let stop = CancellationToken::new();
         let announcer = Self {
@@ -46,7 +49,8 @@
     }
 
     /// Tells the node that the backend server takes no new work, and announces it no more.
-    pub(crate) async fn drain(&self) -> bool {
+    /// Returns whether the node took the message.
+    pub async fn drain(&self) -> bool {
         self.stop.cancel();
         let body = json!({ "address": self.server.address() }).to_string();
         send(&self.client, Method::POST, self.node, "/drain", body).await
--- a/trefoillock-stand-ins/src/demo.rs
+++ b/trefoillock-stand-ins/src/demo.rs
@@ -1,7 +1,6 @@
 //! The demonstration: a whole system on loopback in one process, with faults on the way and
 //! each promise checked.
 
-mod announcer;
 mod fleet;
 mod load;
 mod plan;
--- a/trefoillock-stand-ins/src/demo/fleet.rs
+++ b/trefoillock-stand-ins/src/demo/fleet.rs
@@ -16,8 +16,11 @@
 use trefoillock_rpc::Token;
 use trefoillockd::{Observer, bootstrap};
 
-use super::{announcer::Announcer, plan::Plan, process::Process};
-use crate::backend_server::{BackendServer, BackendServerConfig, RunLog};
+use super::{plan::Plan, process::Process};
+use crate::{
+    announcer::Announcer,
+    backend_server::{BackendServer, BackendServerConfig, RunLog},
+};
 
 /// The number of control replicas.
 const REPLICAS: usize = 3;
--- a/trefoillock-stand-ins/src/lib.rs
+++ b/trefoillock-stand-ins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for backend servers and callers, the naive version, demonstrations and
 //! measurements. Not published.
 //!
+//! - [`announcer`]: a backend server's side of the interface of the node beside it.
 //! - [`backend_server`]: a backend server on a loopback socket, with faults at every step of a
 //!   call and a log of every run.
 //! - [`caller`]: a caller that checks that an answer is whole and its own.
@@ -10,6 +11,7 @@
 //! - [`moves_lab`]: moves under fake call outcomes in virtual time.
 //! - [`fleet`]: control replicas and nodes on an in-memory network under virtual time.
 
+pub mod announcer;
 pub mod backend_server;
 pub mod call_bench;
 pub mod call_mesh;
