--- a/trefoillock-policy/tests/guard_planner.rs
+++ b/trefoillock-policy/tests/guard_planner.rs
@@ -5,7 +5,7 @@
 use trefoillock_core::{
     DataCentre, GUARD_SLOTS, Guard, GuardSlot, GuardTable, Incarnation, NodeId, Timestamp,
 };
-use trefoillock_policy::{DeadGuards, GuardAck, GuardAcks, plan_guards};
+use trefoillock_policy::{DeadGuards, GuardAck, GuardAcks, GuardKeeper, plan_guards};
 
 const NOW: Timestamp = Timestamp::from_secs(1_000);
 
@@ -157,6 +157,27 @@
     }
 }
 
+/// A planned stop: the node is left out of the live ones and stops when it has no duty left.
+#[test]
+fn a_leaving_node_is_relieved_of_all_slots_without_a_loss() {
+    let mut table = GuardTable::new();
+    settle(&mut table, &guards(6));
+    let mut keeper = GuardKeeper::new(guard(5, 1).node, Incarnation::new(1));
+    keeper.sync(&table);
+    let duties = table
+        .values()
+        .filter(|set| set.guards.contains(&guard(5, 1)));
+    assert_eq!(keeper.duties(), duties.count());
+    settle(&mut table, &guards(5));
+    keeper.sync(&table);
+    assert_eq!(keeper.duties(), 0);
+    assert!(
+        table
+            .values()
+            .all(|set| set.lost_at.is_none() && set.guards.len() == 3)
+    );
+}
+
 #[test]
 fn an_unsettled_set_is_left_alone() {
     let mut table = GuardTable::new();
@@ -184,6 +205,19 @@
     }
 }
 
+/// Both of two guards grant each key, so the one that is left knows all keys.
+#[test]
+fn the_restart_of_one_of_two_nodes_is_no_loss() {
+    let mut table = GuardTable::new();
+    settle(&mut table, &guards(2));
+    let live = [guard(0, 1), guard(1, 2)];
+    assert_eq!(settle(&mut table, &live), usize::from(GUARD_SLOTS));
+    for set in table.values() {
+        assert_eq!((set.lost_at, set.previous.len()), (None, 2));
+        assert!(live.iter().all(|guard| set.guards.contains(guard)));
+    }
+}
+
 #[test]
 fn an_operator_vouches_for_vms_that_are_gone() {
     let mut table = GuardTable::new();
--- a/trefoillock-stand-ins/src/moves_lab/cluster.rs
+++ b/trefoillock-stand-ins/src/moves_lab/cluster.rs
@@ -73,6 +73,7 @@
     moves: Vec<Move>,
     decider: MoveController,
     leader_from: u64,
+    share_steps: u64,
     nodes: Vec<Node>,
     servers: [Server; NEW_SERVERS],
     members: Members,
@@ -112,6 +113,7 @@
             tables,
             decider: MoveController::new(),
             leader_from: 0,
+            share_steps: 0,
             nodes: (0..NODES).map(|_| Node::default()).collect(),
             servers: [Server::default(); NEW_SERVERS],
             members: Members::default(),
@@ -190,6 +192,9 @@
             if self.weather.is_cut_off(since_start, number) {
                 continue;
             }
+            if self.tick >= self.leader_from {
+                node.judge.confirm(START + since_start);
+            }
             for at in (0..node.inbox.len()).rev() {
                 if node.inbox[at].0 > self.tick {
                     continue;
@@ -231,7 +236,8 @@
         let node = self.rng.random_range(0..NODES);
         let view = self.nodes[node].views[route];
         let draw = self.rng.random_range(0..Share::PARTS);
-        let is_cut = self.nodes[node].judge.cut(id_of(route));
+        let is_cut = self.nodes[node].judge.cut(id_of(route))
+            || self.nodes[node].judge.is_unsupervised(self.now());
         let is_new = view.share.takes(draw) && !is_cut;
         let result = if is_new {
             self.new_call(route, up, is_poison)
@@ -399,7 +405,9 @@
             action.evidence = step.evidence;
             self.distribute(route);
         }
-        if has_moved && self.weather.changes_leader() {
+        let number = self.share_steps;
+        self.share_steps += u64::from(has_moved);
+        if has_moved && self.weather.changes_leader(number) {
             self.decider = MoveController::new();
             self.leader_from = self.tick + LEADER_GAP_TICKS;
         }
@@ -446,10 +454,12 @@
     /// Notes the last tick at which a node gave calls of a bad route to the new version.
     fn note_zero(&mut self) {
         let version = self.scenario.version;
+        let now = self.now();
         let is_open = |node: &Node, route: usize| {
             version.is_bad_on(route)
                 && node.views[route].share > Share::ZERO
                 && !node.judge.cut(id_of(route))
+                && !node.judge.is_unsupervised(now)
         };
         let any_open = self
             .nodes
