test(backend): hold drains, queue time, crashes and the HTTP interface at the destination

Cause: with drains broken on purpose at the destination, call_promises stayed green, since the list of members follows within 10 ms there. Change: tests/destination.rs drives one LocalServer and the interface over real sockets; with the drain broken it fails.

--- /dev/null
+++ b/trefoillock-backend/tests/destination.rs
@@ -0,0 +1,206 @@
+//! The destination of calls: drains hold at once, refusals come with their proof, and the HTTP
+//! interface names its errors.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use http::Request;
+use http_body_util::BodyExt;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+use trefoillock_backend::{
+    BackendInterface, CallFailure, CallLimits, LocalServer, empty_body, serve,
+};
+use trefoillock_core::{
+    Announcement, Incarnation, MemberState, Outcome, RefusalReason, RouteClass, ServiceName,
+    VersionLabel,
+};
+use trefoillock_platform::Clock;
+
+const HANG_GUARD: Duration = Duration::from_secs(20);
+
+fn announcement(address: SocketAddr) -> Announcement {
+    Announcement {
+        address,
+        service: ServiceName::try_from("treaty-desk").expect("a name"),
+        version: VersionLabel::try_from("1").expect("a name"),
+        incarnation: Incarnation::new(1),
+        slots: 1,
+        connections: 1,
+        state: MemberState::Up,
+    }
+}
+
+/// A backend server that answers after a time, and counts its connections.
+async fn backend_server(pause: Duration) -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let connections = Arc::new(AtomicU32::new(0));
+    let counted = connections.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let mut buf = [0; 4_096];
+                while stream.read(&mut buf).await.is_ok_and(|read| read > 0) {
+                    sleep(pause).await;
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                    let _ = stream.write_all(answer).await;
+                }
+            });
+        }
+    });
+    (address, connections)
+}
+
+async fn call(server: &Arc<LocalServer>, queue: Duration) -> Result<(), CallFailure> {
+    let limits = CallLimits {
+        class: RouteClass::Lookup,
+        deadline: Instant::now() + HANG_GUARD,
+        queue,
+    };
+    let req = Request::get("/").header("host", "h").body(empty_body());
+    let resp = server.call(req.expect("a request"), limits).await?;
+    resp.into_body().collect().await.expect("a whole body");
+    Ok(())
+}
+
+fn assert_refused(result: Result<(), CallFailure>, reason: RefusalReason) {
+    let failure = result.expect_err("refused");
+    assert_eq!(failure.reason(), reason);
+    assert_eq!(failure.outcome(), Outcome::DidNotRun);
+}
+
+#[tokio::test]
+async fn a_drain_holds_at_once_for_new_and_waiting_calls() {
+    let (address, connections) = backend_server(Duration::from_millis(300)).await;
+    let interface = Arc::new(BackendInterface::new(Clock::start()));
+    interface.announce(announcement(address)).expect("taken");
+    let server = interface.servers().get(address).expect("a server");
+    let running = tokio::spawn({
+        let server = server.clone();
+        async move { call(&server, HANG_GUARD).await }
+    });
+    while connections.load(Ordering::Relaxed) == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let waiting = tokio::spawn({
+        let server = server.clone();
+        async move { call(&server, HANG_GUARD).await }
+    });
+    while server.hint().queued == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    interface.drain(address).expect("drains");
+    assert_refused(call(&server, HANG_GUARD).await, RefusalReason::Draining);
+    let waited = timeout(HANG_GUARD, waiting).await.expect("refused at once");
+    assert_refused(waited.expect("no panic"), RefusalReason::Draining);
+    running
+        .await
+        .expect("no panic")
+        .expect("work in flight ends");
+}
+
+#[tokio::test]
+async fn a_call_waits_for_a_slot_only_for_a_bounded_time() {
+    let (address, _) = backend_server(Duration::from_millis(400)).await;
+    let server = Arc::new(LocalServer::new(announcement(address), Clock::start()));
+    let running = tokio::spawn({
+        let server = server.clone();
+        async move { call(&server, HANG_GUARD).await }
+    });
+    while server.hint().running == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let refused = call(&server, Duration::from_millis(20)).await;
+    assert_refused(refused, RefusalReason::Overloaded);
+    running.await.expect("no panic").expect("answered");
+    assert_eq!(server.hint().running, 0, "the slot is free again");
+}
+
+#[tokio::test]
+async fn a_process_that_is_gone_loses_its_lease() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let interface = Arc::new(BackendInterface::new(Clock::start()));
+    interface.announce(announcement(address)).expect("taken");
+    let server = interface.servers().get(address).expect("a server");
+    assert_refused(call(&server, HANG_GUARD).await, RefusalReason::Draining);
+    let stop = CancellationToken::new();
+    let mut list = interface.subscribe();
+    let watching = tokio::spawn({
+        let (interface, stop) = (interface.clone(), stop.clone());
+        async move { interface.watch_leases(stop).await }
+    });
+    let gone = timeout(HANG_GUARD, list.wait_for(Vec::is_empty)).await;
+    gone.expect("the lease ends").expect("published");
+    stop.cancel();
+    watching.await.expect("no panic");
+}
+
+async fn send(address: SocketAddr, path: &str, body: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connected");
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("answered");
+    answer
+}
+
+#[tokio::test]
+async fn the_http_interface_takes_announcements_and_names_errors() {
+    let interface = Arc::new(BackendInterface::new(Clock::start()));
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let stop = CancellationToken::new();
+    let serving = tokio::spawn(serve(listener, interface.clone(), stop.clone()));
+
+    let mut own = announcement(SocketAddr::from(([127, 0, 0, 1], 9_000)));
+    own.incarnation = Incarnation::new(7);
+    let json = serde_json::to_string(&own).expect("JSON");
+    let status = |answer: &str| answer.split(' ').nth(1).map(str::to_owned);
+    let taken = send(address, "/announcement", &json).await;
+    assert_eq!(status(&taken).as_deref(), Some("204"), "{taken}");
+    assert_eq!(interface.subscribe().borrow().as_slice(), [own.clone()]);
+
+    own.incarnation = Incarnation::new(6);
+    let json = serde_json::to_string(&own).expect("JSON");
+    let lower = send(address, "/announcement", &json).await;
+    assert_eq!(status(&lower).as_deref(), Some("409"), "{lower}");
+    assert!(lower.contains("incarnation 6 is lower"), "{lower}");
+
+    let report = r#"{"address":"127.0.0.1:9000","running":3,"waiting":0}"#;
+    let loaded = send(address, "/load", report).await;
+    assert_eq!(status(&loaded).as_deref(), Some("204"), "{loaded}");
+    let unknown = send(address, "/drain", r#"{"address":"127.0.0.1:1"}"#).await;
+    assert_eq!(status(&unknown).as_deref(), Some("404"), "{unknown}");
+    let drained = send(address, "/drain", r#"{"address":"127.0.0.1:9000"}"#).await;
+    assert_eq!(status(&drained).as_deref(), Some("204"), "{drained}");
+    assert_eq!(
+        interface.subscribe().borrow()[0].state,
+        MemberState::Draining
+    );
+    let malformed = send(address, "/announcement", "{").await;
+    assert_eq!(status(&malformed).as_deref(), Some("400"), "{malformed}");
+    stop.cancel();
+    timeout(HANG_GUARD, serving)
+        .await
+        .expect("stops")
+        .expect("no panic")
+        .expect("no error");
+}
