test(control): a loss at an older attachment starts no lease

Cause: with that check broken on purpose the test still passed. Change: looks at the lost nodes right after the loss too. Conclusion: the broken check is seen.

--- a/trefoillock-control/tests/membership.rs
+++ b/trefoillock-control/tests/membership.rs
@@ -60,6 +60,7 @@
     table.join(START, new.clone());
     table.join(START, old.clone());
     table.leave(START, &LostNode::new(&old, false));
+    assert_eq!(table.lost().count(), 0);
     table.expire(START + ORPHAN_LEASE, std::iter::once(&new));
     assert_eq!(table.attached().collect::<Vec<_>>(), [&new]);
 }
