--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`NodeContext`] holds what all calls of one node share.
 //! - [`NodeView`] is the configuration and the list of members that the node holds.
 //! - [`EvidenceRecorder`] counts how calls ended.
-//! - [`serve_peer`] takes the calls of other nodes for the backend servers beside this one.
+//! - [`serve_peer()`] takes the calls of other nodes for the backend servers beside this one.
 //! - [`NodeContext::send`] sends a call to the node beside a backend server.
 
 mod context;
