fix(moves): take a version back on all loaded routes once one proved it bad

Change: a move at 50% or more is taken back when another move to its pool was taken back for the version after its last step.

--- a/trefoillock-moves/src/controller.rs
+++ b/trefoillock-moves/src/controller.rs
@@ -13,7 +13,7 @@
     pool_judge::PoolJudge,
     scene::Scene,
     servers::{PoolServers, ServerWatch},
-    siblings::{class_of, others_are_rising, siblings},
+    siblings::{bad_under_load, class_of, others_are_rising, siblings},
     track::Track,
 };
 
@@ -93,6 +93,7 @@
                 servers: self.servers_of(now, action, tables, members),
                 report,
                 siblings: siblings(action, &moves, tables),
+                bad_under_load: bad_under_load(action, &moves),
                 busy_of_others: self.busy_of_others(action, &active),
                 others_are_rising: others_are_rising(now, action, &active),
             };
--- a/trefoillock-moves/src/scene.rs
+++ b/trefoillock-moves/src/scene.rs
@@ -40,6 +40,8 @@
     /// Whether another move to the same pool has not reached its last stage, or has only just.
     pub(crate) others_are_rising: bool,
     pub(crate) siblings: Siblings,
+    /// Why another move to the same pool was taken back while this one was at a large share.
+    pub(crate) bad_under_load: Option<MoveEnd>,
 }
 
 /// Where a move shall stand.
@@ -85,6 +87,9 @@
         if let (RouteClass::Posting, Siblings::Bad(end)) = (self.class, self.siblings) {
             return taken_back(end);
         }
+        if let Some(end) = self.bad_under_load {
+            return taken_back(end);
+        }
         if self.now >= self.action.deadline {
             return taken_back(MoveEnd::DeadlinePassed);
         }
--- a/trefoillock-moves/tests/moves/postings.rs
+++ b/trefoillock-moves/tests/moves/postings.rs
@@ -1,4 +1,4 @@
-//! Postings get a new version last.
+//! Moves of several routes to one pool: postings get a new version last.
 
 use trefoillock_core::{MoveEnd, MoveId, MoveState, RouteName, Share};
 
@@ -40,3 +40,26 @@
     let (state, share) = posting_after(MoveState::TakenBack { end }, 0.0);
     assert!(!state.is_final() && share > Share::ZERO, "{state} {share}");
 }
+
+/// A lookup move beside one that is taken back when the lookup move has reached `share`.
+fn lookup_when_another_is_taken_back(share: f64) -> MoveState {
+    let mut bench = Bench::new(300);
+    while bench.action.share < Share::from_fraction(share) {
+        bench.run(1, |_| (1, 1));
+    }
+    let end = MoveEnd::Failures;
+    let mut sibling = bench.action.clone();
+    sibling.id = MoveId::new(2);
+    sibling.state = MoveState::TakenBack { end };
+    bench.sibling = Some(sibling);
+    bench.run(2, |_| (1, 1));
+    bench.action.state
+}
+
+#[test]
+fn a_version_that_is_bad_near_full_load_is_taken_back_on_all_routes() {
+    let end = MoveEnd::Failures;
+    let at_large_share = lookup_when_another_is_taken_back(0.65);
+    assert_eq!(at_large_share, MoveState::TakenBack { end });
+    assert!(!lookup_when_another_is_taken_back(0.06).is_final());
+}
