fix(backend): ask a process several times whether it died after it lost a connection

Cause: call_promises failed once: a crashing request ran 3 times instead of 2, since the probe met the listening socket of the dying process and took the crash for a broken connection. Change: up to 3 probes, 10 ms apart; a lost connection that was no crash is told 20 ms later.

--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use tokio::{
     net::TcpStream,
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 use trefoillock_core::{Announcement, MemberState, RefusalReason, RouteClass, headers};
 use trefoillock_platform::Clock;
@@ -33,6 +33,11 @@
 /// The longest time that a connection takes to finish its last request after the answer.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// The number of connections that are tried after one was lost.
+const PROBES: u32 = 3;
+/// The pause between two of them.
+const PROBE_PAUSE: Duration = Duration::from_millis(10);
+
 /// The limits of one call.
 #[derive(Debug, Clone, Copy)]
 pub struct CallLimits {
@@ -214,15 +219,20 @@
     }
 
     /// Finds out whether the process still accepts connections after one was lost.
+    ///
+    /// A process that is dying may still accept one for a moment, so it is asked several times.
     pub async fn probe(&self) -> Crash {
-        let opening = TcpStream::connect(self.announcement.address);
-        match timeout(CONNECT_TIMEOUT, opening).await {
-            Ok(Err(_)) => {
+        for attempt in 0..PROBES {
+            if attempt > 0 {
+                sleep(PROBE_PAUSE).await;
+            }
+            let opening = TcpStream::connect(self.announcement.address);
+            if matches!(timeout(CONNECT_TIMEOUT, opening).await, Ok(Err(_))) {
                 self.crashed.store(true, Ordering::Release);
-                Crash::Yes
+                return Crash::Yes;
             }
-            Ok(Ok(_)) | Err(_) => Crash::No,
         }
+        Crash::No
     }
 }
 
