fix(trefoillockd): lead only while the lease lasts, and let crashes and silence reach the judges

Cause: the distribution counted a deposed leader as leading until its next read barrier failed, up to 0.5 s after its lease; crash reports did not reach the move controller, and nodes did not notice the silence of control, though the machines for both were there. Change: ReplicaHandle::lease gives the instant at which the lease ends; the publisher bounds the barrier by it and follows at that instant. The leader passes crashes on and decides every 0.5 s. A node that has heard no live leader for 5 s gives new pools no calls.

--- a/trefoillock-control/src/agent.rs
+++ b/trefoillock-control/src/agent.rs
@@ -50,6 +50,8 @@
     pub config: watch::Receiver<Option<Arc<Config>>>,
     /// The list of members; empty until a live leader has confirmed one.
     pub members: watch::Receiver<Arc<Members>>,
+    /// The last round of confirmations of a live leader; it changes as long as one is heard.
+    pub confirmed_round: watch::Receiver<u64>,
 }
 
 struct Link {
@@ -68,6 +70,7 @@
     inputs: NodeInputs,
     config: watch::Sender<Option<Arc<Config>>>,
     members: watch::Sender<Arc<Members>>,
+    confirmed_round: watch::Sender<u64>,
     token: Token,
     traffic: Arc<Traffic>,
     links: Map<LinkId, Link>,
@@ -93,12 +96,14 @@
         let (child_events_tx, child_events) = mpsc::channel(EVENT_QUEUE);
         let (config_tx, config) = watch::channel(None);
         let (members_tx, members) = watch::channel(Arc::default());
+        let (round_tx, confirmed_round) = watch::channel(0);
         let rng = Pcg64Mcg::seed_from_u64(rand::random());
         let agent = Self {
             machine: NodeMachine::new(identity, control, rng),
             inputs,
             config: config_tx,
             members: members_tx,
+            confirmed_round: round_tx,
             token,
             traffic,
             links: Map::default(),
@@ -109,7 +114,14 @@
             child_events,
             clock: Clock::start(),
         };
-        (agent, NodeOutputs { config, members })
+        (
+            agent,
+            NodeOutputs {
+                config,
+                members,
+                confirmed_round,
+            },
+        )
     }
 
     /// Adds the calls of children to the handlers of a listening socket.
@@ -211,6 +223,9 @@
     }
 
     fn publish(&self) {
+        let round = self.machine.confirmed_round();
+        self.confirmed_round
+            .send_if_modified(|held| std::mem::replace(held, round) != round);
         let config = self.machine.config();
         self.config.send_if_modified(|held| {
             let is_new = held.as_ref().map(|c| c.version()) != config.map(|c| c.version());
--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -416,6 +416,12 @@
         self.members.serving()
     }
 
+    /// The last round of confirmations of a live leader that reached this node.
+    #[must_use]
+    pub const fn confirmed_round(&self) -> u64 {
+        self.confirmed_round
+    }
+
     /// What is held, served or not.
     #[must_use]
     pub fn held(&self) -> Held {
--- a/trefoillock-replica/src/driver.rs
+++ b/trefoillock-replica/src/driver.rs
@@ -1,6 +1,11 @@
 //! The task that runs a replica's machine.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -49,6 +54,7 @@
     pub(crate) disk: DiskThread,
     pub(crate) peers: Peers,
     pub(crate) status: watch::Sender<ReplicaStatus>,
+    pub(crate) lease: watch::Sender<Option<Instant>>,
     pub(crate) waiters: Waiters,
     pub(crate) reads: BTreeMap<ReadId, oneshot::Sender<Result<LogIndex, ReadError>>>,
     pub(crate) last_read: u64,
@@ -252,6 +258,11 @@
 
     fn publish(&self) {
         let status = ReplicaStatus::of(&self.replica);
+        // The instant is read before the clock, so the lease never seems longer than it is.
+        let instant = Instant::now();
+        let now = self.clock.now();
+        let lease = status.lease_until.map(|until| instant + until.since(now));
+        self.lease.send_replace(lease);
         self.status.send_if_modified(|old| {
             let changed = *old != status;
             *old = status;
--- a/trefoillock-replica/src/handle.rs
+++ b/trefoillock-replica/src/handle.rs
@@ -1,6 +1,6 @@
 //! The handle of a running replica.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Instant};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -32,6 +32,7 @@
     commands: mpsc::Sender<Command>,
     inbox: mpsc::Sender<Envelope>,
     status: watch::Receiver<ReplicaStatus>,
+    lease: watch::Receiver<Option<Instant>>,
     traffic: Arc<Traffic>,
     stop: CancellationToken,
 }
@@ -89,6 +90,7 @@
         let (inbox, inbox_rx) = mpsc::channel(QUEUED_MESSAGES);
         let (synced, synced_rx) = mpsc::unbounded_channel();
         let (status, status_rx) = watch::channel(ReplicaStatus::of(&replica));
+        let (lease, lease_rx) = watch::channel(None);
         let platform = Peer::Platform("threads".to_owned());
         let disk = DiskThread::start(folder, synced)
             .map_err(|error| Error::new(Step::Write, platform, error))?;
@@ -101,6 +103,7 @@
             disk,
             peers: Peers::new(settings.token.clone(), traffic.clone(), stop.clone()),
             status,
+            lease,
             waiters: Waiters::default(),
             reads: BTreeMap::new(),
             last_read: 0,
@@ -117,6 +120,7 @@
             commands,
             inbox,
             status: status_rx,
+            lease: lease_rx,
             traffic,
             stop,
         })
@@ -200,6 +204,12 @@
         self.status.clone()
     }
 
+    /// The instant until which no other replica can lead, while this one leads.
+    #[must_use]
+    pub fn lease(&self) -> watch::Receiver<Option<Instant>> {
+        self.lease.clone()
+    }
+
     /// The bytes of messages that the replica sent.
     #[must_use]
     pub fn traffic(&self) -> Arc<Traffic> {
--- a/trefoillockd/src/leader_driver.rs
+++ b/trefoillockd/src/leader_driver.rs
@@ -21,7 +21,7 @@
 use crate::{daemon::Cx, leadership::Leadership, move_log::MoveLog, shared_store::SharedStore};
 
 /// The time between two looks at the moves.
-const DECIDE_INTERVAL: Duration = Duration::from_millis(200);
+const DECIDE_INTERVAL: Duration = Duration::from_millis(500);
 /// The number of ended moves that the controller is told of.
 const ENDED_MOVES_TOLD: usize = 32;
 
@@ -113,6 +113,7 @@
         crash: &CrashReport,
         quarantined: &watch::Sender<BTreeMap<Fingerprint, Timestamp>>,
     ) {
+        self.controller.observe_crash(crash);
         let now = self.cx.clock.now();
         let fingerprint = format!("{:016x}", crash.fingerprint.get());
         let server = crash.server.to_string();
--- a/trefoillockd/src/leadership.rs
+++ b/trefoillockd/src/leadership.rs
@@ -1,8 +1,8 @@
-//! Whether this replica leads, confirmed by a quorum.
+//! Whether this replica leads, under a lease that a quorum confirmed.
 
 use std::{
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::sync::watch;
@@ -25,6 +25,14 @@
     pub(crate) term: Option<Term>,
 }
 
+/// Waits until a lease ends; without one, for ever.
+async fn lapse(end: Option<Instant>) {
+    match end {
+        Some(end) => tokio::time::sleep_until(end.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Tells the distribution and the moves whether this replica leads.
 pub(crate) struct Publisher {
     cx: Cx,
@@ -44,11 +52,14 @@
         leadership: watch::Sender<Leadership>,
     ) {
         let mut status = self.replica.status();
+        let lease = self.replica.lease();
         let mut config = self.store.config();
         let mut tick = tokio::time::interval(CONFIRM_INTERVAL);
         loop {
+            let lease_end = (*lease.borrow()).filter(|end| *end > Instant::now());
             tokio::select! {
                 () = self.cx.finish.cancelled() => return,
+                () = lapse(lease_end) => {}
                 _ = tick.tick() => {}
                 Ok(()) = status.changed() => {}
                 Ok(()) = config.changed() => {}
@@ -56,16 +67,19 @@
             }
             let now = status.borrow_and_update().clone();
             let held = config.borrow_and_update().clone();
-            let confirmed = now.role == RoleKind::Leader && self.confirm().await;
+            let confirmed = now.role == RoleKind::Leader && self.confirm(&lease).await;
             self.publish(&now, confirmed, &held, &state, &leadership);
         }
     }
 
-    /// Asks a quorum whether this replica still leads. The barrier also waits until every
-    /// entry that was committed before is applied.
-    async fn confirm(&self) -> bool {
-        let barrier = tokio::time::timeout(CONFIRM_TIMEOUT, self.replica.read_barrier());
-        matches!(barrier.await, Ok(Ok(_)))
+    /// Whether this replica leads under a lease and has applied every entry that was committed
+    /// before. It is answered no later than the lease ends.
+    async fn confirm(&self, lease: &watch::Receiver<Option<Instant>>) -> bool {
+        let holds = || (*lease.borrow()).filter(|end| *end > Instant::now());
+        let Some(end) = holds() else { return false };
+        let limit = end.min(Instant::now() + CONFIRM_TIMEOUT);
+        let barrier = tokio::time::timeout_at(limit.into(), self.replica.read_barrier());
+        matches!(barrier.await, Ok(Ok(_))) && holds().is_some()
     }
 
     fn publish(
--- a/trefoillockd/src/node_role.rs
+++ b/trefoillockd/src/node_role.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::task::TaskTracker;
 use trefoillock_backend::BackendInterface;
 use trefoillock_control::{LocalEvidence, NodeAgent, NodeIdentity, NodeInputs, NodeOutputs};
@@ -90,8 +90,9 @@
             node,
             traffic,
         };
+        let confirmed = outputs.confirmed_round.clone();
         cx.tasks.spawn(pump.clone().follow(outputs));
-        cx.tasks.spawn(pump.report(evidence_tx));
+        cx.tasks.spawn(pump.report(evidence_tx, confirmed));
         let announcements = watch_announcements(cx.clone(), interface);
         cx.tasks.spawn(announcements);
         Ok(Self { serving, view })
@@ -166,7 +167,11 @@
     }
 
     /// Reports evidence on moves often and service-level counts seldom.
-    async fn report(self, evidence: mpsc::Sender<LocalEvidence>) {
+    async fn report(
+        self,
+        evidence: mpsc::Sender<LocalEvidence>,
+        mut confirmed: watch::Receiver<u64>,
+    ) {
         let mut counts = Evidence::default();
         let mut counted = self.cx.clock.now();
         let mut judge = LocalJudge::new();
@@ -187,6 +192,10 @@
                 moves: drained.moves,
                 ..Evidence::default()
             };
+            if confirmed.has_changed().unwrap_or(false) {
+                confirmed.mark_unchanged();
+                judge.confirm(self.cx.clock.now());
+            }
             self.cut(&mut judge, &mut report);
             let now = self.cx.clock.now();
             if now.since(counted) >= BURN_INTERVAL {
@@ -222,7 +231,8 @@
             self.cx.events.write(Event::LocalCut, &fields);
         }
         let moves = config.moves().values().map(|share| share.id);
-        let cuts = moves.filter(|id| judge.cut(*id)).collect();
+        let unsupervised = judge.is_unsupervised(self.cx.clock.now());
+        let cuts = moves.filter(|id| unsupervised || judge.cut(*id)).collect();
         self.node.recorder().set_cuts(cuts);
     }
 
