--- a/trefoillock-replica/tests/loopback.rs
+++ b/trefoillock-replica/tests/loopback.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::path::Path;
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
 
 use support::{HANG_GUARD, Running, applied, leader, listener, listener_at, settings, start};
 use trefoillock_core::{LogIndex, ReplicaId};
@@ -163,3 +166,33 @@
     let again = ReplicaHandle::start(settings(root, 1, address), machine, stop);
     again.expect_err("the folder is locked").to_string()
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_that_loses_its_quorum_loses_its_lease() {
+    let root = tempfile::tempdir().expect("a folder");
+    let mut replicas = three(root.path()).await;
+    propose(&replicas, "one").await;
+    let place = leader(&replicas).await;
+    let alone = replicas.swap_remove(place);
+    let mut lease = alone.handle.lease();
+    let holds = |end: &Option<Instant>| end.is_some_and(|end| end > Instant::now());
+    let waited = tokio::time::timeout(HANG_GUARD, lease.wait_for(holds)).await;
+    assert!(
+        waited.is_ok_and(|lease| lease.is_ok()),
+        "a leader holds a lease"
+    );
+    for replica in replicas {
+        replica.stop().await;
+    }
+    // The last instant that was told is an upper bound of the lease.
+    let waiting = async {
+        while holds(&alone.handle.lease().borrow()) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let waited = tokio::time::timeout(HANG_GUARD, waiting).await;
+    waited.expect("the lease ends");
+    assert!(alone.handle.read_barrier().await.is_err());
+    assert!(!holds(&alone.handle.lease().borrow()));
+    alone.stop().await;
+}
