--- /dev/null
+++ b/trefoilctl/tests/commands.rs
@@ -0,0 +1,300 @@
+//! The commands against a fake control replica: output and exit codes.
+
+use std::{
+    net::SocketAddr,
+    process::{Command, Output},
+    sync::Arc,
+};
+
+use futures::{FutureExt, future::BoxFuture};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio_util::sync::CancellationToken;
+use trefoillock_core::{
+    ConfigVersion, Edit, EditAnswer, EditConflict, EditRefusal, Move, MoveEnd, MoveId, MoveState,
+    RawTables, Share, Tables, TablesDiff, Term, Timestamp,
+};
+use trefoillock_operator::{
+    ApiError, ApiErrorKind, BurnReport, CancelReport, CheckReport, EditReport, MembersReport,
+    MovesReport, OperatorService, ReplicaChange, StatusReport, TablesReport,
+};
+use trefoillock_rpc::Token;
+use trefoillock_store::CancelAnswer;
+
+/// What the fake replica answers.
+#[derive(Clone, Copy)]
+enum Kind {
+    /// It leads; edits named `conflict` and `refused` are refused.
+    Leader,
+    /// It follows.
+    Follower,
+}
+
+struct Fake(Kind);
+
+type Reply<'a, T> = BoxFuture<'a, Result<T, ApiError>>;
+
+impl Fake {
+    fn reply<T: Send + 'static>(&self, answer: T) -> Reply<'_, T> {
+        let answer = match self.0 {
+            Kind::Leader => Ok(answer),
+            Kind::Follower => Err(ApiError::new(ApiErrorKind::NotLeader, "not the leader")),
+        };
+        async move { answer }.boxed()
+    }
+}
+
+fn taken_back() -> Move {
+    Move {
+        id: MoveId::new(7),
+        route: "positions".try_into().expect("a name"),
+        from: "desk-v1".try_into().expect("a name"),
+        to: "desk-v2".try_into().expect("a name"),
+        deadline: Timestamp::from_secs(60),
+        started: Timestamp::from_secs(1),
+        state: MoveState::TakenBack {
+            end: MoveEnd::Failures,
+        },
+        share: Share::ZERO,
+        step: 3,
+        stepped: Timestamp::from_secs(5),
+        evidence: "3 of 4 failed".to_owned(),
+    }
+}
+
+impl OperatorService for Fake {
+    fn now(&self) -> Timestamp {
+        Timestamp::from_secs(1)
+    }
+
+    fn status(&self) -> Reply<'_, StatusReport> {
+        self.reply(StatusReport {
+            term: Term::new(3),
+            version: ConfigVersion::new(5),
+            tables_version: ConfigVersion::new(4),
+            nodes: 2,
+            versions: Vec::new(),
+            lagging: Vec::new(),
+            replicas: Vec::new(),
+            running_moves: 0,
+        })
+    }
+
+    fn tables(&self) -> Reply<'_, TablesReport> {
+        self.reply(TablesReport {
+            version: ConfigVersion::new(5),
+            tables_version: ConfigVersion::new(4),
+            tables: RawTables::default(),
+        })
+    }
+
+    fn check(&self, tables: Tables) -> Reply<'_, CheckReport> {
+        self.reply(CheckReport {
+            errors: None,
+            difference: Some(Tables::default().diff(&tables)),
+            tables_version: ConfigVersion::new(4),
+        })
+    }
+
+    fn edit(&self, edit: Edit) -> Reply<'_, EditReport> {
+        let answer = match edit.id.as_str() {
+            "conflict" => EditAnswer::Refused(EditRefusal::Conflict(Box::new(EditConflict {
+                base: edit.base,
+                current: ConfigVersion::new(9),
+                difference: TablesDiff::default(),
+            }))),
+            "refused" => EditAnswer::Refused(EditRefusal::IdentityReused(edit.id)),
+            _ => EditAnswer::Accepted {
+                version: ConfigVersion::new(6),
+                moves: Vec::new(),
+            },
+        };
+        self.reply(EditReport { answer })
+    }
+
+    fn moves(&self) -> Reply<'_, MovesReport> {
+        self.reply(MovesReport {
+            moves: vec![taken_back()],
+        })
+    }
+
+    fn cancel(&self, _: MoveId) -> Reply<'_, CancelReport> {
+        self.reply(CancelReport {
+            answer: CancelAnswer::AlreadyEnded,
+        })
+    }
+
+    fn members(&self) -> Reply<'_, MembersReport> {
+        self.reply(MembersReport {
+            members: Vec::new(),
+        })
+    }
+
+    fn burn(&self) -> Reply<'_, BurnReport> {
+        self.reply(BurnReport::default())
+    }
+
+    fn change_replicas(&self, _: ReplicaChange) -> Reply<'_, StatusReport> {
+        self.status()
+    }
+}
+
+/// Fake replicas on loopback, which live as long as their runtime.
+struct Replicas {
+    _runtime: tokio::runtime::Runtime,
+    control: String,
+    folder: TempDir,
+}
+
+impl Replicas {
+    fn start(kinds: &[Kind]) -> Self {
+        let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+        let start = |kind: &Kind| -> SocketAddr {
+            let bind = tokio::net::TcpListener::bind("127.0.0.1:0");
+            let listener = runtime.block_on(bind).expect("a free port");
+            let address = listener.local_addr().expect("an address");
+            let (stop, service) = (CancellationToken::new(), Arc::new(Fake(*kind)));
+            runtime.spawn(trefoillock_operator::serve(
+                listener,
+                service,
+                Token::none(),
+                stop,
+            ));
+            address
+        };
+        let control: Vec<String> = kinds.iter().map(|kind| start(kind).to_string()).collect();
+        let folder = tempfile::tempdir().expect("a folder");
+        let valid = json!({
+            "routes": [{"name": "r", "match": {"path_prefix": "/"}, "class": "lookup",
+                        "pool": "p", "timeout_ms": 100}],
+            "pools": [{"name": "p", "service": "s", "version": "1"}]
+        });
+        let mut bad = valid.clone();
+        bad["routes"][0]["pool"] = json!("nowhere");
+        for (name, tables) in [("valid.json", valid), ("bad.json", bad)] {
+            std::fs::write(folder.path().join(name), tables.to_string()).expect("a file");
+        }
+        Self {
+            _runtime: runtime,
+            control: control.join(","),
+            folder,
+        }
+    }
+
+    fn run(&self, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_trefoilctl"))
+            .current_dir(self.folder.path())
+            .args(["--control", &self.control])
+            .args(args)
+            .output()
+            .expect("the client runs")
+    }
+}
+
+fn code(output: &Output) -> Option<i32> {
+    output.status.code()
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+#[test]
+fn exit_codes_tell_what_became_of_an_edit() {
+    let replicas = Replicas::start(&[Kind::Leader]);
+    let apply = |id: &str| replicas.run(&["apply", "valid.json", "--id", id, "--base", "4"]);
+    assert_eq!(code(&apply("fresh")), Some(0));
+    assert_eq!(code(&apply("refused")), Some(3));
+    let conflict = apply("conflict");
+    assert_eq!(code(&conflict), Some(4));
+    assert!(text(&conflict).contains("version 9"), "{}", text(&conflict));
+    let bad = replicas.run(&["apply", "bad.json"]);
+    assert_eq!(code(&bad), Some(2));
+    assert!(text(&bad).contains("routes[0].pool"), "{}", text(&bad));
+}
+
+#[test]
+fn check_needs_no_replica_and_names_each_place() {
+    let replicas = Replicas::start(&[]);
+    assert_eq!(code(&replicas.run(&["check", "valid.json"])), Some(0));
+    let bad = replicas.run(&["check", "bad.json"]);
+    assert_eq!(code(&bad), Some(2));
+    assert!(
+        text(&bad).contains("$.routes[0].pool: names the pool"),
+        "{}",
+        text(&bad)
+    );
+    assert_eq!(code(&replicas.run(&["check", "missing.json"])), Some(2));
+}
+
+#[test]
+fn diff_and_dry_run_change_nothing_and_tell_differences() {
+    let replicas = Replicas::start(&[Kind::Leader]);
+    let diff = replicas.run(&["diff", "valid.json"]);
+    assert_eq!(code(&diff), Some(7));
+    assert!(text(&diff).contains("+ route r"), "{}", text(&diff));
+    let dry = replicas.run(&["apply", "valid.json", "--dry-run", "--id", "refused"]);
+    assert_eq!(code(&dry), Some(7));
+}
+
+#[test]
+fn a_move_that_was_taken_back_ends_the_watch_with_its_code() {
+    let replicas = Replicas::start(&[Kind::Leader]);
+    let watch = replicas.run(&["moves", "--watch", "--move", "7"]);
+    assert_eq!(code(&watch), Some(6));
+    assert!(
+        text(&watch).contains("taken-back (Failures)"),
+        "{}",
+        text(&watch)
+    );
+    assert_eq!(
+        code(&replicas.run(&["moves", "--watch", "--move", "8"])),
+        Some(3)
+    );
+    assert_eq!(code(&replicas.run(&["cancel", "7"])), Some(3));
+}
+
+#[test]
+fn the_leader_is_found_behind_followers_and_dead_addresses() {
+    let mut replicas = Replicas::start(&[Kind::Follower, Kind::Leader]);
+    replicas.control = format!("127.0.0.1:1,{}", replicas.control);
+    for command in ["status", "moves", "burn"] {
+        let output = replicas.run(&["--json", command]);
+        assert_eq!(code(&output), Some(0), "{}", text(&output));
+        serde_json::from_slice::<Value>(&output.stdout).expect("one JSON object");
+    }
+    for shown in ["routes", "pools", "members", "version"] {
+        assert_eq!(code(&replicas.run(&["show", shown])), Some(0));
+    }
+}
+
+#[test]
+fn without_a_leader_the_client_gives_up() {
+    let replicas = Replicas::start(&[Kind::Follower]);
+    let output = replicas.run(&["status"]);
+    assert_eq!(code(&output), Some(5));
+    assert!(
+        text(&output).contains("not the leader"),
+        "{}",
+        text(&output)
+    );
+}
+
+#[test]
+fn malformed_arguments_end_with_code_2() {
+    let replicas = Replicas::start(&[Kind::Leader]);
+    for args in [
+        &["frobnicate"][..],
+        &["show", "colours"],
+        &["cancel", "seven"],
+        &["moves", "--move", "7"],
+        &["status", "extra"],
+        &["replicas", "add", "4"],
+        &["apply", "valid.json", "--id", "two words"],
+        &[],
+    ] {
+        assert_eq!(code(&replicas.run(args)), Some(2), "{args:?}");
+    }
+    assert_eq!(code(&replicas.run(&["--help"])), Some(0));
+    assert_eq!(code(&replicas.run(&["--version"])), Some(0));
+}
