fix(platform): refuse a backend interface beyond loopback

Cause: the interface for backend servers asks for no token, yet with a token file any address was accepted for it, so a stranger could have announced or drained backend servers. Change: the settings refuse any address but loopback there.

--- a/trefoillock-platform/src/settings.rs
+++ b/trefoillock-platform/src/settings.rs
@@ -313,6 +313,12 @@
             sockets.push(("$.control.mesh", control.mesh));
             sockets.push(("$.control.operators", control.operators));
         }
+        if let Some(node) = &settings.node
+            && !node.backend.ip().is_loopback()
+        {
+            let rule = "must be a loopback address: the interface asks for no token";
+            return Err(self.error("$.node.backend", rule));
+        }
         let mut taken: BTreeMap<SocketAddr, &str> = BTreeMap::new();
         for (place, address) in sockets {
             if let Some(first) = taken.insert(address, place) {
--- a/trefoillock-platform/tests/settings.rs
+++ b/trefoillock-platform/tests/settings.rs
@@ -65,6 +65,7 @@
         error_with("/admin", json!("127.0.0.1:9002")),
         error_with("/log", json!({"level": "loud"})),
         error_with("/log", json!({"format": "xml"})),
+        error_with("/node/backend", json!("0.0.0.0:9005")),
         error_with("/node/control", json!([])),
         error_with("/node/control", json!(["nowhere"])),
         error_with("/control/id", json!(0)),
