test(calls): send malformed, oversized and forged requests

Cause: limits of heads, the token of the peer port and stripped headers had no test. Change: three tests over raw sockets; the forged call with the right token runs, so the refusals are the token's doing. Conclusion: hostile heads run nothing and the node goes on serving.

--- /dev/null
+++ b/trefoillock-stand-ins/tests/hostile_callers.rs
@@ -0,0 +1,118 @@
+//! Malformed, oversized and forged requests run nothing and do not disturb other callers.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+use trefoillock_core::Outcome;
+use trefoillock_stand_ins::{
+    backend_server::BackendServerConfig,
+    call_bench::CallBench,
+    caller::{Caller, CallerRequest},
+};
+
+const HANG_GUARD: Duration = Duration::from_secs(30);
+
+const TABLES: &str = r#"{
+  "routes": [{ "name": "positions", "match": { "path_prefix": "/positions" },
+               "class": "lookup", "pool": "desk-v1", "timeout_ms": 5000 }],
+  "pools": [{ "name": "desk-v1", "service": "treaty-desk", "version": "1" }]
+}"#;
+
+async fn bench() -> CallBench {
+    let server = BackendServerConfig::new("treaty-desk", "1").expect("valid names");
+    let bench = CallBench::start(vec![None, Some(server)])
+        .await
+        .expect("sockets");
+    bench.publish(1, TABLES, BTreeMap::new());
+    bench.settled().await;
+    bench
+}
+
+/// Sends bytes and returns what comes back until the connection ends.
+async fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    // The node may close before everything is sent.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let read = timeout(HANG_GUARD, stream.read_to_end(&mut answer)).await;
+    let _ = read.expect("the node ends the connection");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+async fn still_serves(bench: &CallBench) {
+    let request = CallerRequest::get("/positions/after", "after");
+    let report = Caller::new(HANG_GUARD).call(bench.entry(0), &request).await;
+    assert_eq!(report.outcome, Outcome::Answered, "{report:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_and_oversized_heads_run_nothing() {
+    let bench = bench().await;
+    let oversized = format!(
+        "GET /positions HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n",
+        "y".repeat(200_000)
+    );
+    let many = "x: y\r\n".repeat(5_000);
+    let many = format!("GET /positions HTTP/1.1\r\nhost: a\r\n{many}\r\n");
+    let heads: [&[u8]; 5] = [
+        b"\x00\x01\x02\x03 nonsense\r\n\r\n",
+        b"GET /positions HTTP/1.1\r\nbad header line\r\n\r\n",
+        b"GET /positions HTTP/1.1\r\nhost: a\r\ncontent-length: many\r\n\r\n",
+        oversized.as_bytes(),
+        many.as_bytes(),
+    ];
+    for head in heads {
+        let answer = exchange(bench.entry(0), head).await;
+        let status = answer.get(9..10).unwrap_or_default();
+        assert!(answer.is_empty() || status == "4", "{answer}");
+    }
+    assert_eq!(bench.log().total(), 0);
+    still_serves(&bench).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_to_the_peer_port_without_the_token_runs_nothing() {
+    let bench = bench().await;
+    let peer = bench.places()[1].node.guard().peer_address;
+    let server = bench.server(1).expect("a backend server").address();
+    let call = |token: &str| {
+        format!(
+            "GET /positions/forged HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{token}\
+             trefoillock-server: {server}\r\ntrefoillock-service: treaty-desk\r\n\
+             trefoillock-version: 1\r\ntrefoillock-class: lookup\r\n\
+             trefoillock-fingerprint: 0\r\ntrefoillock-queue-ms: 100\r\n\
+             trefoillock-deadline-ms: 5000\r\n\r\n"
+        )
+    };
+    for token in ["", "trefoillock-token: Bearer guess\r\n"] {
+        let answer = exchange(peer, call(token).as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 4"), "{answer}");
+        assert!(answer.contains("did-not-run"), "{answer}");
+    }
+    assert_eq!(bench.log().total(), 0);
+    // The same call with the token runs, so the refusals above are the token's doing.
+    let answer = exchange(
+        peer,
+        call("trefoillock-token: Bearer secret\r\n").as_bytes(),
+    )
+    .await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(bench.log().total(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn headers_of_the_system_that_a_caller_forges_have_no_effect() {
+    let bench = bench().await;
+    let forged = "GET /positions/x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+        trefoillock-server: 127.0.0.1:1\r\ntrefoillock-service: other\r\n\
+        trefoillock-class: posting\r\ntrefoillock-token: Bearer guess\r\n\
+        trefoillock-outcome: did-not-run\r\n\r\n";
+    let answer = exchange(bench.entry(0), forged.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("trefoillock-outcome: answered"), "{answer}");
+    assert_eq!(bench.log().total(), 1);
+}
