test(calls): measure two bare relays beside the path of a call

Cause: the added latency was taken for wake-ups of idle threads without a figure. Change: the calls example puts two relays that only copy bytes beside ours and the naive proxy.

--- a/trefoillock-stand-ins/examples/calls/latency.rs
+++ b/trefoillock-stand-ins/examples/calls/latency.rs
@@ -9,7 +9,7 @@
     caller::{Caller, CallerRequest},
 };
 
-use crate::mesh::Sides;
+use crate::{bare_relay::BareRelay, mesh::Sides};
 
 /// The calls a second that one node takes.
 const NODE_RATE: u32 = 263;
@@ -46,6 +46,8 @@
     direct: Quantiles,
     ours_added: Quantiles,
     naive_added: Quantiles,
+    /// What two relays that only copy bytes add.
+    bare_added: Quantiles,
 }
 
 #[derive(Debug, Serialize)]
@@ -59,16 +61,20 @@
 pub(crate) async fn measure() -> Result<Figures, Box<dyn Error>> {
     let server = BackendServerConfig::new("treaty-desk", "1")?;
     let sides = Sides::start(&server, 6).await?;
+    let inner = BareRelay::start(sides.direct()?)?;
+    let outer = BareRelay::start(inner.address())?;
     let mut rows = Vec::new();
     for rate in RATES {
         let direct = run(sides.direct()?, rate).await;
         let ours = run(sides.ours.entry(0), rate).await;
         let naive = run(sides.naive.address(), rate).await;
+        let bare = run(outer.address(), rate).await;
         rows.push(Row {
             rate,
             direct,
             ours_added: ours.minus(direct),
             naive_added: naive.minus(direct),
+            bare_added: bare.minus(direct),
         });
     }
     let within = rows
@@ -123,15 +129,14 @@
 impl Figures {
     pub(crate) fn print(&self) {
         println!("Latency added to a direct call, ms (p50 / p99 / p99.9)");
-        println!("  calls/s   direct                  trefoillock             naive");
+        println!(
+            "  calls/s   direct                  trefoillock             naive                   two bare relays"
+        );
         for row in &self.rows {
             let text = |q: &Quantiles| format!("{:6.3} {:6.3} {:7.3}", q.p50, q.p99, q.p999);
             let (direct, ours) = (text(&row.direct), text(&row.ours_added));
-            println!(
-                "  {:>7}   {direct}   {ours}   {}",
-                row.rate,
-                text(&row.naive_added)
-            );
+            let (naive, bare) = (text(&row.naive_added), text(&row.bare_added));
+            println!("  {:>7}   {direct}   {ours}   {naive}   {bare}", row.rate);
         }
         let rate = self.highest_rate_within_target;
         let rate = rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
--- a/trefoillock-stand-ins/examples/calls/main.rs
+++ b/trefoillock-stand-ins/examples/calls/main.rs
@@ -4,6 +4,7 @@
 //!
 //! `cargo run --release --example calls [-- --json]`
 
+mod bare_relay;
 mod faults;
 mod latency;
 mod memory;
