test(trefoillockd): send a keyed posting again through every node process

Change: the test with six processes posts under a key and sends it again through all three nodes. Broken on purpose: with keys ignored at the entry it fails (a resend ran again).

--- a/trefoillockd/tests/processes.rs
+++ b/trefoillockd/tests/processes.rs
@@ -169,7 +169,9 @@
 fn tables(timeout_ms: u32) -> Value {
     json!({
         "routes": [{"name": "positions", "match": {"path_prefix": "/"}, "class": "lookup",
-                    "pool": "desk", "timeout_ms": timeout_ms}],
+                    "pool": "desk", "timeout_ms": timeout_ms},
+                   {"name": "claims", "match": {"path_prefix": "/claims", "method": "POST"},
+                    "class": "posting", "pool": "desk", "timeout_ms": timeout_ms}],
         "pools": [{"name": "desk", "service": "treaty-desk", "version": "1"}]
     })
 }
@@ -218,6 +220,9 @@
     ))
 }
 
+/// The postings that the backend server ran.
+static POSTINGS: AtomicU32 = AtomicU32::new(0);
+
 /// A backend server that answers every request with `whole`.
 async fn backend_server() -> SocketAddr {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -230,6 +235,9 @@
             tokio::spawn(async move {
                 let mut buf = [0; 4096];
                 while stream.read(&mut buf).await.is_ok_and(|read| read > 0) {
+                    if buf.starts_with(b"POST") {
+                        POSTINGS.fetch_add(1, Ordering::Relaxed);
+                    }
                     let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
                     if stream.write_all(answer).await.is_err() {
                         return;
@@ -262,6 +270,40 @@
     }
 }
 
+/// Sends a posting without a body under a key.
+async fn post(http: &Http, port: u16, key: &str) -> Option<(u16, String)> {
+    let req = Request::builder()
+        .method("POST")
+        .uri(format!("http://{}/claims", address(port)))
+        .header("idempotency-key", key);
+    let req = req.body(Full::from("")).expect("a valid request");
+    let resp = http.request(req).await.ok()?;
+    let outcome = resp
+        .headers()
+        .get("trefoillock-outcome")?
+        .to_str()
+        .ok()?
+        .to_owned();
+    let status = resp.status().as_u16();
+    resp.into_body().collect().await.ok()?;
+    Some((status, outcome))
+}
+
+/// Sends postings with fresh keys until one is answered, and returns its key.
+async fn post_until_answered(http: &Http, port: u16) -> String {
+    let began = Instant::now();
+    for attempt in 0.. {
+        let key = format!("key-{attempt}");
+        let answer = post(http, port, &key).await;
+        if answer.as_ref().is_some_and(|(status, _)| *status == 200) {
+            return key;
+        }
+        assert!(began.elapsed() < HANG, "never answered: {answer:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    unreachable!("the loop ends by its return or its guard")
+}
+
 #[tokio::test]
 async fn six_processes_serve_calls_and_survive_the_loss_of_a_replica() {
     let mut system = System::start();
@@ -289,6 +331,15 @@
         call_until_answered(&http, port).await;
     }
 
+    let key = post_until_answered(&http, system.callers[0]).await;
+    let runs = POSTINGS.load(Ordering::Relaxed);
+    assert!(runs > 0);
+    for port in system.callers.clone() {
+        let again = post(&http, port, &key).await;
+        assert!(again.is_some(), "a resend is answered");
+    }
+    assert_eq!(POSTINGS.load(Ordering::Relaxed), runs, "a resend ran again");
+
     let leader = client.status().await.expect("the status");
     let leader = leader
         .replicas
