refactor(process): rename trefoillock-platform to trefoillock-process

The adapter to the users' platform needs the name; settings, clock, signals and logging keep their content. No behaviour changes; the workspace checks as before.

--- a/trefoilctl/src/commands.rs
+++ b/trefoilctl/src/commands.rs
@@ -8,7 +8,7 @@
 use trefoillock_operator::{
     ApiErrorKind, CheckReport, ClientError, EditReport, EditRequest, OperatorClient,
 };
-use trefoillock_platform::read_secret;
+use trefoillock_process::read_secret;
 use trefoillock_rpc::Token;
 use trefoillock_store::CancelAnswer;
 
--- a/trefoillock-backend/src/interface.rs
+++ b/trefoillock-backend/src/interface.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::Announcement;
-use trefoillock_platform::Clock;
+use trefoillock_process::Clock;
 
 use crate::{AnnounceError, Announcements, LEASE, LoadReport, LocalServers, lease::LEASE_CHECK};
 
--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -15,8 +15,8 @@
     time::{Instant, sleep, timeout, timeout_at},
 };
 use trefoillock_core::{Announcement, MemberState, RefusalReason, RouteClass, headers};
-use trefoillock_platform::Clock;
 use trefoillock_policy::LoadHint;
+use trefoillock_process::Clock;
 
 use crate::{
     Body, CallFailure, Crash, NotSent,
--- a/trefoillock-backend/src/local_servers.rs
+++ b/trefoillock-backend/src/local_servers.rs
@@ -10,7 +10,7 @@
     time::{Instant, timeout_at},
 };
 use trefoillock_core::{Announcement, Incarnation, Map, MemberState};
-use trefoillock_platform::Clock;
+use trefoillock_process::Clock;
 
 use crate::LocalServer;
 
--- a/trefoillock-backend/src/slots.rs
+++ b/trefoillock-backend/src/slots.rs
@@ -10,8 +10,8 @@
 
 use tokio::{sync::oneshot, time::sleep};
 use trefoillock_core::{Map, RefusalReason, RouteClass, Timestamp};
-use trefoillock_platform::Clock;
 use trefoillock_policy::{Admission, LoadHint, Offer, Ticket};
+use trefoillock_process::Clock;
 
 /// The number of times that a waiting call checks during its longest wait whether it is refused.
 const CHECKS_PER_WAIT: u32 = 4;
--- a/trefoillock-backend/tests/destination.rs
+++ b/trefoillock-backend/tests/destination.rs
@@ -25,7 +25,7 @@
     Announcement, Incarnation, MemberState, Outcome, RefusalReason, RouteClass, ServiceName,
     VersionLabel,
 };
-use trefoillock_platform::Clock;
+use trefoillock_process::Clock;
 
 const HANG_GUARD: Duration = Duration::from_secs(20);
 
--- a/trefoillock-caller/src/flight.rs
+++ b/trefoillock-caller/src/flight.rs
@@ -12,8 +12,8 @@
 use tokio::time::Instant;
 use trefoillock_backend::{Body, BodyError, CallFailure, Execution};
 use trefoillock_core::{Member, RefusalReason};
-use trefoillock_platform::Clock;
 use trefoillock_policy::{CallResult, LoadHint};
+use trefoillock_process::Clock;
 
 use crate::pool_state::PoolState;
 
--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -6,7 +6,7 @@
 use tokio_util::task::TaskTracker;
 use trefoillock_backend::{Body, CallFailure, LocalServers};
 use trefoillock_core::{DataCentre, Incarnation, Member, NodeId};
-use trefoillock_platform::Clock;
+use trefoillock_process::Clock;
 use trefoillock_rpc::Token;
 
 use crate::{Delivery, EvidenceRecorder, Guards, NodeView, destination, peer_clients::PeerClients};
--- a/trefoillock-node/src/guards.rs
+++ b/trefoillock-node/src/guards.rs
@@ -15,11 +15,11 @@
     Config, ConfigVersion, Fingerprint, Guard, GuardSet, GuardSlot, Incarnation, Map, NodeId,
     Timestamp,
 };
-use trefoillock_platform::Clock;
 use trefoillock_policy::{
     Claim, ClaimAnswer, ClaimId, ClaimLoss, ClaimRequest, ClaimState, CopyAnswer, CopyRequest,
     Finish, FinishRequest, GuardAck, GuardKeeper, KeyHash,
 };
+use trefoillock_process::Clock;
 use trefoillock_rpc::{RpcServer, Token, Traffic};
 
 use crate::{
--- a/trefoillock-platform/tests/events.rs
+++ b/trefoillock-process/tests/events.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, fmt::Write as _, fs, path::Path};
 
-use trefoillock_platform::Event;
+use trefoillock_process::Event;
 
 /// The catalogue as the docs must hold it.
 fn catalogue() -> String {
--- a/trefoillock-platform/tests/settings.rs
+++ b/trefoillock-process/tests/settings.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use serde_json::{Value, json};
-use trefoillock_platform::Settings;
+use trefoillock_process::Settings;
 
 fn valid() -> Value {
     json!({
--- a/trefoillock-stand-ins/src/call_bench.rs
+++ b/trefoillock-stand-ins/src/call_bench.rs
@@ -14,8 +14,8 @@
     Config, ConfigVersion, Guard, GuardSet, GuardSlot, GuardTable, Members, MembersVersion,
     MoveShare, RawTables, RouteName, Tables, Term,
 };
-use trefoillock_platform::Clock;
 use trefoillock_policy::CrashTally;
+use trefoillock_process::Clock;
 use trefoillock_rpc::Token;
 
 use crate::{
--- a/trefoillock-stand-ins/src/call_mesh.rs
+++ b/trefoillock-stand-ins/src/call_mesh.rs
@@ -15,7 +15,7 @@
     ServerId, Term,
 };
 use trefoillock_node::NodeContext;
-use trefoillock_platform::Clock;
+use trefoillock_process::Clock;
 use trefoillock_rpc::Token;
 
 /// One node with its own runtime, so that it can die as a process would.
--- a/trefoillock-stand-ins/src/demo/fleet.rs
+++ b/trefoillock-stand-ins/src/demo/fleet.rs
@@ -12,7 +12,7 @@
 use futures::{FutureExt, future::BoxFuture};
 use trefoillock_core::{Config, ConfigVersion};
 use trefoillock_operator::OperatorClient;
-use trefoillock_platform::Settings;
+use trefoillock_process::Settings;
 use trefoillock_rpc::Token;
 use trefoillockd::{Observer, bootstrap};
 
--- a/trefoillock-stand-ins/src/demo/process.rs
+++ b/trefoillock-stand-ins/src/demo/process.rs
@@ -5,7 +5,7 @@
 use tokio::{runtime::Runtime, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::Error;
-use trefoillock_platform::Settings;
+use trefoillock_process::Settings;
 use trefoillockd::{Daemon, Observer};
 
 /// A running daemon.
--- a/trefoillock-stand-ins/src/demo/scenario.rs
+++ b/trefoillock-stand-ins/src/demo/scenario.rs
@@ -11,7 +11,7 @@
     ConfigVersion, EditAnswer, EditId, EditRefusal, Move, MoveState, Outcome, Timestamp,
 };
 use trefoillock_operator::EditRequest;
-use trefoillock_platform::Clock;
+use trefoillock_process::Clock;
 
 use super::{
     fleet::Fleet,
--- a/trefoillockd/src/control_role.rs
+++ b/trefoillockd/src/control_role.rs
@@ -9,8 +9,8 @@
 use tokio::sync::watch;
 use trefoillock_control::{DistributionSource, SourceInputs, SourceRole, SourceState};
 use trefoillock_core::{Error, Peer, Step};
-use trefoillock_platform::ControlSettings;
 use trefoillock_policy::BurnMeter;
+use trefoillock_process::ControlSettings;
 use trefoillock_replica::ReplicaHandle;
 use trefoillock_rpc::{RpcServer, Traffic};
 
--- a/trefoillockd/src/daemon.rs
+++ b/trefoillockd/src/daemon.rs
@@ -6,7 +6,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use trefoillock_core::{Config, Error, Members, Peer, Step};
 use trefoillock_node::NodeView;
-use trefoillock_platform::{Clock, ControlSettings, Event, Settings};
+use trefoillock_process::{Clock, ControlSettings, Event, Settings};
 use trefoillock_replica::{DataFolder, ReplicaHandle, ReplicaSettings};
 use trefoillock_rpc::Token;
 
--- a/trefoillockd/src/events.rs
+++ b/trefoillockd/src/events.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Display;
 
-use trefoillock_platform::{Clock, Event, LogFormat, log_event};
+use trefoillock_process::{Clock, Event, LogFormat, log_event};
 
 /// Writes the events of one process.
 #[derive(Debug, Clone, Copy)]
--- a/trefoillockd/src/leader_driver.rs
+++ b/trefoillockd/src/leader_driver.rs
@@ -12,8 +12,8 @@
     Config, CrashReport, Evidence, Fingerprint, Members, Move, MoveStep, Term, Timestamp,
 };
 use trefoillock_moves::{MoveController, NodeReport};
-use trefoillock_platform::Event;
 use trefoillock_policy::{BurnMeter, CrashTally};
+use trefoillock_process::Event;
 use trefoillock_replica::ReplicaHandle;
 use trefoillock_rpc::Traffic;
 use trefoillock_store::Command;
--- a/trefoillockd/src/leadership.rs
+++ b/trefoillockd/src/leadership.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use trefoillock_control::{SourceRole, SourceState};
 use trefoillock_core::{Config, Term};
-use trefoillock_platform::Event;
+use trefoillock_process::Event;
 use trefoillock_replica::{ReplicaHandle, ReplicaStatus, RoleKind};
 
 use crate::{daemon::Cx, shared_store::SharedStore};
--- a/trefoillockd/src/main.rs
+++ b/trefoillockd/src/main.rs
@@ -5,7 +5,7 @@
 use pico_args::Arguments;
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::Error;
-use trefoillock_platform::{Settings, cancel_on_signal, start_logging};
+use trefoillock_process::{Settings, cancel_on_signal, start_logging};
 use trefoillockd::{Daemon, bootstrap, check_data_folder, join};
 
 /// The exit code for malformed arguments or settings.
--- a/trefoillockd/src/move_log.rs
+++ b/trefoillockd/src/move_log.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use trefoillock_core::{Move, MoveId, MoveState};
-use trefoillock_platform::Event;
+use trefoillock_process::Event;
 
 use crate::events::EventLog;
 
--- a/trefoillockd/src/node_role.rs
+++ b/trefoillockd/src/node_role.rs
@@ -12,7 +12,7 @@
 use trefoillock_core::{Error, Evidence, Incarnation};
 use trefoillock_moves::LocalJudge;
 use trefoillock_node::{NodeContext, NodeView};
-use trefoillock_platform::{Event, NodeSettings};
+use trefoillock_process::{Event, NodeSettings};
 use trefoillock_rpc::{RpcServer, Traffic};
 
 use crate::{daemon::Cx, metrics::CallLabels};
--- a/trefoillockd/src/operator_service.rs
+++ b/trefoillockd/src/operator_service.rs
@@ -11,8 +11,8 @@
     MembersReport, MovesReport, OperatorService, ReplicaChange, ReplicaRow, StatusReport,
     TablesReport, VersionCount,
 };
-use trefoillock_platform::Event;
 use trefoillock_policy::BurnMeter;
+use trefoillock_process::Event;
 use trefoillock_replica::{ChangeError, MemberRole, ProposeError, ReplicaHandle};
 use trefoillock_store::{Command, CommandAnswer};
 
