refactor(roles): move the composition of the roles out of trefoillockd

The adapter's binary needs the same composition. `Cx` and the making of data folders get files of their own, so no two modules import each other any more; trefoillockd is a thin program over it.

--- a/trefoillockd/src/control_role.rs
+++ b/trefoillock-roles/src/control_role.rs
@@ -15,7 +15,8 @@
 use trefoillock_rpc::{RpcServer, Traffic};
 
 use crate::{
-    daemon::{Cx, replica_settings},
+    cx::Cx,
+    founding::replica_settings,
     guard_driver::GuardDriver,
     leader_driver::{LeaderDriver, LeaderInputs},
     leadership::{self, Leadership},
--- a/trefoillockd/src/daemon.rs
+++ b/trefoillock-roles/src/daemon.rs
@@ -1,64 +1,22 @@
 //! A running daemon.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
-use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use trefoillock_core::{Config, Error, Members, Peer, Step};
+use trefoillock_core::{Config, Error, Members};
 use trefoillock_node::NodeView;
-use trefoillock_process::{Clock, ControlSettings, Event, Settings};
-use trefoillock_replica::{DataFolder, ReplicaHandle, ReplicaSettings};
+use trefoillock_process::{Clock, Event, Settings};
 use trefoillock_rpc::Token;
 
 use crate::{
     admin::{self, Health},
     control_role::ControlRole,
+    cx::Cx,
     events::EventLog,
     metrics::Metrics,
     node_role::NodeRole,
 };
 
-/// What the roles of one process share.
-#[derive(Clone)]
-pub(crate) struct Cx {
-    pub(crate) settings: Arc<Settings>,
-    pub(crate) clock: Clock,
-    pub(crate) token: Token,
-    pub(crate) events: EventLog,
-    pub(crate) metrics: Arc<Metrics>,
-    pub(crate) health: Arc<Health>,
-    pub(crate) tasks: TaskTracker,
-    /// Cancelled when the graceful stop begins.
-    pub(crate) stop: CancellationToken,
-    /// Cancelled when calls in flight have ended and the links to other processes may close.
-    pub(crate) finish: CancellationToken,
-}
-
-impl Cx {
-    /// Opens a listening socket.
-    pub(crate) async fn listen(&self, address: SocketAddr) -> Result<TcpListener, Error> {
-        TcpListener::bind(address)
-            .await
-            .map_err(|e| Error::new(Step::Listen, Peer::Platform(address.to_string()), e))
-    }
-
-    /// Runs a server and writes an event if it fails.
-    pub(crate) fn spawn_server<F, E>(&self, socket: &'static str, server: F)
-    where
-        F: Future<Output = Result<(), E>> + Send + 'static,
-        E: std::fmt::Display + Send,
-    {
-        let events = self.events;
-        self.tasks.spawn(async move {
-            if let Err(error) = server.await {
-                let fields: [(&str, &dyn std::fmt::Display); 2] =
-                    [("socket", &socket), ("error", &error)];
-                events.write(Event::ListenerFailed, &fields);
-            }
-        });
-    }
-}
-
 /// A running daemon. Dropping it does not stop it; cancel its token.
 pub struct Daemon {
     cx: Cx,
@@ -182,61 +140,3 @@
         self.metrics.control_sent.get()
     }
 }
-
-/// The settings of the replicated log for a control replica.
-pub(crate) fn replica_settings(settings: &Settings, control: &ControlSettings) -> ReplicaSettings {
-    let peers = control
-        .replicas
-        .iter()
-        .map(|replica| (replica.id, replica.address));
-    let token = settings
-        .token
-        .as_deref()
-        .map_or_else(Token::none, Token::new);
-    ReplicaSettings::new(SYSTEM, control.id, control.mesh, &control.data_folder)
-        .peers(peers.collect())
-        .token(token)
-}
-
-/// The name of the system in the data folders of its replicas.
-const SYSTEM: &str = "trefoillock";
-
-fn control_of(settings: &Settings) -> Result<&ControlSettings, Error> {
-    let missing = "the settings have no role `control`, so there is no data folder";
-    let peer = Peer::Platform("settings".to_owned());
-    settings
-        .control
-        .as_ref()
-        .ok_or_else(|| Error::new(Step::Settings, peer, missing))
-}
-
-/// Makes the empty data folder that of a first voter of a new system.
-///
-/// # Errors
-///
-/// Returns an error if the folder is not empty or cannot be written.
-pub fn bootstrap(settings: &Settings) -> Result<(), Error> {
-    ReplicaHandle::bootstrap(&replica_settings(settings, control_of(settings)?))
-}
-
-/// Makes the empty data folder that of a replica that waits to be added.
-///
-/// # Errors
-///
-/// Returns an error if the folder is not empty or cannot be written.
-pub fn join(settings: &Settings) -> Result<(), Error> {
-    ReplicaHandle::join(&replica_settings(settings, control_of(settings)?))
-}
-
-/// Checks that the data folder of a control replica can be opened.
-///
-/// # Errors
-///
-/// Returns an error if the folder is missing, foreign, damaged or in use.
-pub fn check_data_folder(settings: &Settings) -> Result<(), Error> {
-    let Some(control) = &settings.control else {
-        return Ok(());
-    };
-    DataFolder::open(&control.data_folder, SYSTEM, control.id)?;
-    Ok(())
-}
--- a/trefoillockd/src/guard_driver.rs
+++ b/trefoillock-roles/src/guard_driver.rs
@@ -11,7 +11,7 @@
 use trefoillock_rpc::{RpcClient, Traffic};
 use trefoillock_store::{Command, CommandAnswer};
 
-use crate::{daemon::Cx, leadership::Leadership, shared_store::SharedStore};
+use crate::{cx::Cx, leadership::Leadership, shared_store::SharedStore};
 
 /// The time between two looks at the guards.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
--- a/trefoillockd/src/leader_driver.rs
+++ b/trefoillock-roles/src/leader_driver.rs
@@ -18,7 +18,7 @@
 use trefoillock_rpc::Traffic;
 use trefoillock_store::Command;
 
-use crate::{daemon::Cx, leadership::Leadership, move_log::MoveLog, shared_store::SharedStore};
+use crate::{cx::Cx, leadership::Leadership, move_log::MoveLog, shared_store::SharedStore};
 
 /// The time between two looks at the moves.
 const DECIDE_INTERVAL: Duration = Duration::from_millis(500);
--- a/trefoillockd/src/leadership.rs
+++ b/trefoillock-roles/src/leadership.rs
@@ -11,7 +11,7 @@
 use trefoillock_process::Event;
 use trefoillock_replica::{ReplicaHandle, ReplicaStatus, RoleKind};
 
-use crate::{daemon::Cx, shared_store::SharedStore};
+use crate::{cx::Cx, shared_store::SharedStore};
 
 /// The time between two confirmations.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
--- a/trefoillockd/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -15,7 +15,7 @@
 use trefoillock_process::{Event, NodeSettings};
 use trefoillock_rpc::{RpcServer, Traffic};
 
-use crate::{daemon::Cx, metrics::CallLabels};
+use crate::{cx::Cx, metrics::CallLabels};
 
 /// The time between two reports of evidence.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
--- a/trefoillockd/src/operator_service.rs
+++ b/trefoillock-roles/src/operator_service.rs
@@ -16,7 +16,7 @@
 use trefoillock_replica::{ChangeError, MemberRole, ProposeError, ReplicaHandle};
 use trefoillock_store::{Command, CommandAnswer};
 
-use crate::{daemon::Cx, shared_store::SharedStore};
+use crate::{cx::Cx, shared_store::SharedStore};
 
 /// The service behind the operators' interface.
 pub(crate) struct OperatorApi {
--- a/trefoillock-stand-ins/src/demo/fleet.rs
+++ b/trefoillock-stand-ins/src/demo/fleet.rs
@@ -13,8 +13,8 @@
 use trefoillock_core::{Config, ConfigVersion};
 use trefoillock_operator::OperatorClient;
 use trefoillock_process::Settings;
+use trefoillock_roles::{Observer, bootstrap};
 use trefoillock_rpc::Token;
-use trefoillockd::{Observer, bootstrap};
 
 use super::{plan::Plan, process::Process};
 use crate::{
--- a/trefoillock-stand-ins/src/demo/process.rs
+++ b/trefoillock-stand-ins/src/demo/process.rs
@@ -6,7 +6,7 @@
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::Error;
 use trefoillock_process::Settings;
-use trefoillockd::{Daemon, Observer};
+use trefoillock_roles::{Daemon, Observer};
 
 /// A running daemon.
 pub(crate) struct Process {
--- a/trefoillockd/src/main.rs
+++ b/trefoillockd/src/main.rs
@@ -6,7 +6,7 @@
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::Error;
 use trefoillock_process::{Settings, cancel_on_signal, start_logging};
-use trefoillockd::{Daemon, bootstrap, check_data_folder, join};
+use trefoillock_roles::{Daemon, bootstrap, check_data_folder, join};
 
 /// The exit code for malformed arguments or settings.
 const EXIT_SETTINGS: u8 = 2;
