--- a/trefoilctl/src/render.rs
+++ b/trefoilctl/src/render.rs
@@ -54,7 +54,7 @@
         vec![
             pool.name.clone(),
             pool.service.clone(),
-            pool.version.clone(),
+            pool.version.clone().unwrap_or_else(|| "any".to_owned()),
             slots.unwrap_or_default(),
         ]
     });
--- a/trefoilctl/tests/commands.rs
+++ b/trefoilctl/tests/commands.rs
@@ -4,6 +4,7 @@
     net::SocketAddr,
     process::{Command, Output},
     sync::Arc,
+    time::Duration,
 };
 
 use futures::{FutureExt, future::BoxFuture};
@@ -12,14 +13,14 @@
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::{
     ConfigVersion, Edit, EditAnswer, EditConflict, EditRefusal, Move, MoveEnd, MoveId, MoveState,
-    RawTables, Share, Tables, TablesDiff, Term, Timestamp,
+    RawTables, Rollout, ServiceName, Share, Tables, TablesDiff, Term, Timestamp, VersionLabel,
 };
 use trefoillock_operator::{
     ApiError, ApiErrorKind, BurnReport, CancelReport, CheckReport, EditReport, MembersReport,
     MovesReport, OperatorService, ReplicaChange, StatusReport, TablesReport,
 };
 use trefoillock_rpc::Token;
-use trefoillock_store::CancelAnswer;
+use trefoillock_store::{CancelAnswer, Document, ReplaceAnswer};
 
 /// What the fake replica answers.
 #[derive(Clone, Copy)]
@@ -112,6 +113,22 @@
         self.reply(EditReport { answer })
     }
 
+    fn replace(&self, _: Document, _: Tables) -> Reply<'_, ReplaceAnswer> {
+        self.reply(ReplaceAnswer::Accepted(ConfigVersion::new(6)))
+    }
+
+    fn document(&self) -> Reply<'_, Option<Document>> {
+        self.reply(None)
+    }
+
+    fn start_rollout(&self, _: ServiceName, _: VersionLabel, _: Duration) -> Reply<'_, bool> {
+        self.reply(true)
+    }
+
+    fn rollout(&self, _: ServiceName) -> Reply<'_, Option<Rollout>> {
+        self.reply(None)
+    }
+
     fn moves(&self) -> Reply<'_, MovesReport> {
         self.reply(MovesReport {
             moves: vec![taken_back()],
--- a/trefoillock-backend/src/interface.rs
+++ b/trefoillock-backend/src/interface.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
 use tokio::sync::watch;
@@ -10,7 +11,10 @@
 use trefoillock_core::Announcement;
 use trefoillock_process::Clock;
 
-use crate::{AnnounceError, Announcements, LEASE, LoadReport, LocalServers, lease::LEASE_CHECK};
+use crate::{
+    AnnounceError, Announcements, Dialect, LEASE, LoadReport, LocalServers, OwnDialect,
+    lease::LEASE_CHECK,
+};
 
 /// Holds what the backend servers beside a node announce.
 ///
@@ -28,10 +32,17 @@
     /// Creates an interface without backend servers.
     #[must_use]
     pub fn new(clock: Clock) -> Self {
+        Self::with(clock, LEASE, Arc::new(OwnDialect))
+    }
+
+    /// Creates an interface whose announcements last for `lease`, and whose backend servers
+    /// speak a dialect.
+    #[must_use]
+    pub fn with(clock: Clock, lease: Duration, dialect: Arc<dyn Dialect>) -> Self {
         Self {
             clock,
-            state: Mutex::new(Announcements::new(LEASE)),
-            servers: Arc::new(LocalServers::new(clock)),
+            state: Mutex::new(Announcements::new(lease)),
+            servers: Arc::new(LocalServers::new(clock).dialect(dialect)),
             list: watch::Sender::new(Vec::new()),
         }
     }
--- a/trefoillock-backend/src/lib.rs
+++ b/trefoillock-backend/src/lib.rs
@@ -14,6 +14,7 @@
 mod answer_body;
 mod body;
 mod connection;
+mod dialect;
 mod failure;
 mod interface;
 mod lease;
@@ -25,6 +26,7 @@
 
 pub use announcements::{AnnounceError, Announcements};
 pub use body::{Body, BodyError, DeadlineBody, SizedBody, box_body, empty_body, text_body};
+pub use dialect::{AnswerKind, Dialect, OwnDialect};
 pub use failure::{CallFailure, Crash, Execution, NotSent};
 pub use interface::BackendInterface;
 pub use lease::LEASE;
--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -9,17 +9,17 @@
     time::Duration,
 };
 
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response};
 use tokio::{
     net::TcpStream,
     time::{Instant, sleep, timeout, timeout_at},
 };
-use trefoillock_core::{Announcement, MemberState, RefusalReason, RouteClass, headers};
+use trefoillock_core::{Announcement, MemberState, RefusalReason, RouteClass};
 use trefoillock_policy::LoadHint;
 use trefoillock_process::Clock;
 
 use crate::{
-    Body, CallFailure, Crash, NotSent,
+    AnswerKind, Body, CallFailure, Crash, Dialect, NotSent, OwnDialect,
     answer_body::AnswerBody,
     connection::Connection,
     slots::{Slot, Slots},
@@ -58,6 +58,7 @@
     announcement: Announcement,
     crashed: AtomicBool,
     clock: Clock,
+    dialect: Arc<dyn Dialect>,
     slots: Arc<Slots>,
     idle: Mutex<Vec<Connection>>,
 }
@@ -71,6 +72,7 @@
         Self {
             crashed: AtomicBool::new(false),
             clock,
+            dialect: Arc::new(OwnDialect),
             slots: Arc::new(slots),
             idle: Mutex::new(Vec::new()),
             announcement,
@@ -79,6 +81,13 @@
 
     /// What the backend server announced; its state may have changed since.
     #[must_use]
+    pub fn dialect(mut self, dialect: Arc<dyn Dialect>) -> Self {
+        self.dialect = dialect;
+        self
+    }
+
+    /// What the backend server announced.
+    #[must_use]
     pub const fn announcement(&self) -> &Announcement {
         &self.announcement
     }
@@ -193,16 +202,20 @@
     async fn exchange(
         self: &Arc<Self>,
         mut conn: Connection,
-        req: Request<Body>,
+        mut req: Request<Body>,
         limits: CallLimits,
         slot: Slot,
     ) -> Result<Response<Body>, CallFailure> {
+        let left = limits.deadline.saturating_duration_since(Instant::now());
+        let expected = self
+            .dialect
+            .write(req.headers_mut(), &self.announcement, left);
         let before = conn.written();
         let answer = timeout_at(limits.deadline, conn.sender.try_send_request(req)).await;
         let reason = match answer {
             Ok(Ok(resp)) => {
                 let resp = resp.map(|body| AnswerBody::new(body, conn, self.clone(), slot).boxed());
-                return check_refusal(resp);
+                return self.check(expected.as_ref(), resp);
             }
             Ok(Err(_)) => RefusalReason::ConnectionLost,
             Err(_) => RefusalReason::Deadline,
@@ -218,6 +231,26 @@
         Err(CallFailure::may_have_run(reason).with_crash(crash))
     }
 
+    /// Checks that an answer belongs to the call and that the call ran.
+    fn check(
+        &self,
+        expected: Option<&HeaderValue>,
+        resp: Response<Body>,
+    ) -> Result<Response<Body>, CallFailure> {
+        let (head, body) = resp.into_parts();
+        match self.dialect.read(expected, &head) {
+            AnswerKind::Answer => Ok(Response::from_parts(head, body)),
+            AnswerKind::DidNotRun => {
+                let proof = NotSent::refused_by_peer();
+                Err(CallFailure::did_not_run(
+                    RefusalReason::RefusedByServer,
+                    proof,
+                ))
+            }
+            AnswerKind::Spoiled => Err(CallFailure::may_have_run(RefusalReason::SpoiledAnswer)),
+        }
+    }
+
     /// Finds out whether the process still accepts connections after one was lost.
     ///
     /// A process that is dying may still accept one for a moment, so it is asked several times.
@@ -240,18 +273,3 @@
 const fn refuse(reason: RefusalReason) -> CallFailure {
     CallFailure::did_not_run(reason, NotSent::nothing_written())
 }
-
-/// Recognises the answer with which a backend server refuses a call before running it.
-fn check_refusal(resp: Response<Body>) -> Result<Response<Body>, CallFailure> {
-    if resp.status() == StatusCode::SERVICE_UNAVAILABLE && says_did_not_run(resp.headers()) {
-        let proof = NotSent::refused_by_peer();
-        let reason = RefusalReason::RefusedByServer;
-        return Err(CallFailure::did_not_run(reason, proof));
-    }
-    Ok(resp)
-}
-
-fn says_did_not_run(map: &HeaderMap) -> bool {
-    map.get(headers::OUTCOME)
-        .is_some_and(|value| value.as_bytes() == b"did-not-run")
-}
--- a/trefoillock-backend/src/local_servers.rs
+++ b/trefoillock-backend/src/local_servers.rs
@@ -12,12 +12,13 @@
 use trefoillock_core::{Announcement, Incarnation, Map, MemberState};
 use trefoillock_process::Clock;
 
-use crate::LocalServer;
+use crate::{Dialect, LocalServer, OwnDialect};
 
 /// The backend servers that hold a lease, by address.
 #[derive(Debug)]
 pub struct LocalServers {
     clock: Clock,
+    dialect: Arc<dyn Dialect>,
     servers: Mutex<Map<SocketAddr, Arc<LocalServer>>>,
     changed: Notify,
 }
@@ -28,11 +29,19 @@
     pub fn new(clock: Clock) -> Self {
         Self {
             clock,
+            dialect: Arc::new(OwnDialect),
             servers: Mutex::default(),
             changed: Notify::new(),
         }
     }
 
+    /// Sets how the backend servers are spoken to.
+    #[must_use]
+    pub fn dialect(mut self, dialect: Arc<dyn Dialect>) -> Self {
+        self.dialect = dialect;
+        self
+    }
+
     /// The backend server at an address, if it holds a lease.
     #[must_use]
     pub fn get(&self, address: SocketAddr) -> Option<Arc<LocalServer>> {
@@ -60,7 +69,10 @@
                     held.set_state(announcement.state);
                     held.clone()
                 }
-                None => Arc::new(LocalServer::new(announcement.clone(), self.clock)),
+                None => {
+                    let server = LocalServer::new(announcement.clone(), self.clock);
+                    Arc::new(server.dialect(self.dialect.clone()))
+                }
             };
             next.insert(announcement.address, server);
         }
--- a/trefoillock-backend/tests/announcements.rs
+++ b/trefoillock-backend/tests/announcements.rs
@@ -21,6 +21,7 @@
         slots: 9,
         connections: 120,
         state: MemberState::Up,
+        instance: None,
     }
 }
 
--- a/trefoillock-backend/tests/destination.rs
+++ b/trefoillock-backend/tests/destination.rs
@@ -38,6 +38,7 @@
         slots: 1,
         connections: 1,
         state: MemberState::Up,
+        instance: None,
     }
 }
 
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -29,6 +29,7 @@
     pub(crate) route: Arc<RouteState>,
     tried: Vec<ServerId>,
     attempts: u32,
+    sends: u32,
     failure: Option<CallFailure>,
 }
 
@@ -46,6 +47,7 @@
             route,
             tried: Vec::new(),
             attempts: 0,
+            sends: 0,
             failure: None,
         }
     }
@@ -57,7 +59,8 @@
                 let none = || refuse(RefusalReason::NoServer);
                 return Err(self.failure.take().unwrap_or_else(none));
             };
-            let result = if self.attempts == 1 && req.is_whole() {
+            let hedges = self.cx.calls().hedges && self.attempts == 1;
+            let result = if hedges && req.is_whole() {
                 self.hedged(flight, req).await
             } else {
                 attempt(&self.cx, &self.call, flight, req.request()).await
@@ -142,7 +145,8 @@
         result
     }
 
-    fn is_retried(&self, failure: &CallFailure) -> bool {
+    fn is_retried(&mut self, failure: &CallFailure) -> bool {
+        self.sends += u32::from(is_sent(failure));
         let now = self.cx.clock().now();
         let left = self.call.time_left();
         let attempt = Attempt {
@@ -154,6 +158,8 @@
             outcome: failure.outcome(),
             reason: failure.reason(),
             attempts: self.attempts,
+            sends: self.sends,
+            max_sends: self.call.route.max_attempts,
             deadline: now + left,
         };
         self.pool.retry(now, &attempt) == RetryDecision::Retry
@@ -195,12 +201,23 @@
     }
 }
 
+/// Whether a backend server received the call, or may have.
+const fn is_sent(failure: &CallFailure) -> bool {
+    matches!(failure.execution(), Execution::Unknown)
+        || matches!(failure.reason(), RefusalReason::RefusedByServer)
+}
+
 fn delivery(call: &Call, member: &Member) -> Delivery {
     let pool = &call.pool;
     let queue = Duration::from_millis(u64::from(pool.policy.queue_ms));
-    Delivery::new(&member.id, pool.service.clone(), pool.version.clone())
-        .request(call.route.class, call.fingerprint)
-        .limits(call.deadline, queue)
+    let announced = &member.announcement;
+    Delivery::new(
+        &member.id,
+        announced.service.clone(),
+        announced.version.clone(),
+    )
+    .request(call.route.class, call.fingerprint)
+    .limits(call.deadline, queue)
 }
 
 /// Whether calls of a class are resumed after their answer was cut.
--- a/trefoillock-caller/src/entry.rs
+++ b/trefoillock-caller/src/entry.rs
@@ -7,9 +7,12 @@
 use tokio::time::{Instant, timeout_at};
 use trefoillock_backend::{Body, CallFailure, box_body};
 use trefoillock_core::{
-    Fingerprint, Map, Pool, PoolName, RefusalReason, Route, RouteClass, RouteName,
+    Fingerprint, Map, Pool, PoolName, PoolVersions, RefusalReason, Route, RouteClass, RouteName,
+    Share,
+};
+use trefoillock_node::{
+    HeldConfig, MoveCall, NodeContext, RolloutSides, draw, strip_hop_by_hop, strip_internal,
 };
-use trefoillock_node::{HeldConfig, MoveCall, NodeContext, draw, strip_hop_by_hop, strip_internal};
 
 use crate::{
     answer::{pass_on, refuse, tell, tell_answered, tell_unrouted},
@@ -27,7 +30,7 @@
 #[derive(Debug)]
 pub struct Entry {
     cx: Arc<NodeContext>,
-    pools: Mutex<Map<PoolName, Arc<PoolState>>>,
+    pools: Mutex<Map<PoolName, Vec<(PoolVersions, Arc<PoolState>)>>>,
     routes: Mutex<Map<RouteName, Arc<RouteState>>>,
 }
 
@@ -71,6 +74,9 @@
         if call.route.class != RouteClass::Posting {
             return self.run(call, replay).await;
         }
+        if !self.cx.calls().detached_postings {
+            return self.run_posting(call, replay).await;
+        }
         // A posting goes on when its caller leaves.
         let running = self
             .cx
@@ -119,6 +125,9 @@
             None => config.pool_for(route, draw()),
         };
         let (pool, is_new) = chosen.ok_or_else(|| refuse(RefusalReason::NoRoute))?;
+        if let Some(sides) = held.sides(&pool.name) {
+            return Ok(self.choose_side(sides));
+        }
         let in_move = share.map(|share| MoveCall {
             id: share.id,
             step: share.step,
@@ -127,12 +136,30 @@
         Ok((pool.clone(), in_move))
     }
 
+    /// Chooses between old and new version of a pool by the share of the roll-out.
+    ///
+    /// Once the new version has all calls, the old one stands in where it has no servers.
+    fn choose_side(&self, sides: &RolloutSides) -> (Arc<Pool>, Option<MoveCall>) {
+        let rollout = &sides.rollout;
+        let is_cut = self.cx.recorder().is_cut(rollout.id);
+        let is_all = rollout.share == Share::FULL;
+        let is_missing = || is_all && self.cx.view().servers(&sides.new).is_empty();
+        let is_new = !is_cut && rollout.share.takes(draw()) && !is_missing();
+        let pool = if is_new { &sides.new } else { &sides.old };
+        let call = MoveCall {
+            id: rollout.id,
+            step: rollout.step,
+            is_new,
+        };
+        (pool.clone(), Some(call))
+    }
+
     /// Sends a call that may be cancelled, and answers it.
     async fn run(&self, call: Arc<Call>, mut req: Replay) -> Response<Body> {
         let mut dispatch = self.dispatch(&call);
         match dispatch.run(&mut req).await {
             Ok(resp) => {
-                let resp = if is_resumed(call.route.class) {
+                let resp = if self.cx.calls().resumes && is_resumed(call.route.class) {
                     resumable(&self.cx, &call, &dispatch.pool, &req, resp)
                 } else {
                     resp
@@ -145,7 +172,8 @@
 
     /// Sends a posting, and answers it.
     async fn run_posting(self: Arc<Self>, call: Arc<Call>, mut req: Replay) -> Response<Body> {
-        if idempotency_key(req.head().headers()).is_none() {
+        let is_keyed = idempotency_key(req.head().headers()).is_some();
+        if !is_keyed || !self.cx.calls().idempotency_keys {
             return self.run(call, req).await;
         }
         let mut dispatch = self.dispatch(&call);
@@ -169,13 +197,25 @@
     fn pool(&self, pool: &Pool) -> Arc<PoolState> {
         let state = {
             let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-            let fresh = || Arc::new(PoolState::new(pool, self.cx.data_centre().clone()));
-            match pools.get(&pool.name) {
-                Some(state) => state.clone(),
-                None => pools.entry(pool.name.clone()).or_insert_with(fresh).clone(),
+            let parts = match pools.get_mut(&pool.name) {
+                Some(parts) => parts,
+                None => pools.entry(pool.name.clone()).or_default(),
+            };
+            match parts
+                .iter()
+                .find(|(versions, _)| *versions == pool.versions)
+            {
+                Some((_, state)) => state.clone(),
+                None => {
+                    let burst = self.cx.calls().retry_burst;
+                    let state = PoolState::new(pool, self.cx.data_centre().clone(), burst);
+                    let state = Arc::new(state);
+                    parts.push((pool.versions.clone(), state.clone()));
+                    state
+                }
             }
         };
-        let members = self.cx.view().servers(&pool.name);
+        let members = self.cx.view().servers(pool);
         state.sync(self.cx.clock().now(), pool, members);
         state
     }
--- a/trefoillock-caller/src/pool_state.rs
+++ b/trefoillock-caller/src/pool_state.rs
@@ -21,12 +21,12 @@
 }
 
 impl PoolState {
-    pub(crate) fn new(pool: &Pool, data_centre: DataCentre) -> Self {
+    pub(crate) fn new(pool: &Pool, data_centre: DataCentre, retry_burst: u32) -> Self {
         Self {
             state: Mutex::new(State {
                 members: Arc::default(),
                 balancer: Balancer::new(pool.policy, data_centre),
-                budget: RetryBudget::new(),
+                budget: RetryBudget::with_burst(retry_burst),
             }),
         }
     }
--- a/trefoillock-caller/src/serve.rs
+++ b/trefoillock-caller/src/serve.rs
@@ -16,7 +16,7 @@
         let entry = entry.clone();
         async move { entry.answer(req).await }
     };
-    serve_http(listener, ServerLimits::default(), handler, stop).await;
+    serve_http(listener, ServerLimits::default, handler, stop).await;
     tasks.close();
     tasks.wait().await;
 }
--- a/trefoillock-control/src/message.rs
+++ b/trefoillock-control/src/message.rs
@@ -232,6 +232,9 @@
     pub path: Vec<NodeId>,
     /// Other relays that can serve as parent when this one is lost and the leader is out.
     pub alternates: Vec<SocketAddr>,
+    /// The mesh addresses of the control replicas, as the leader knows them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub control: Vec<SocketAddr>,
 }
 
 /// A parent's answer to a report.
--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -314,6 +314,7 @@
                 .take(MAX_ALTERNATES)
                 .collect();
             self.uplink.set_alternates(&self.alternates);
+            self.uplink.learn_control(&route.control);
         }
         let is_confirmed = beat.confirmed_round > self.confirmed_round;
         self.uplink.on_heard(now, link, is_confirmed);
--- a/trefoillock-control/src/node_machine/relay.rs
+++ b/trefoillock-control/src/node_machine/relay.rs
@@ -79,6 +79,7 @@
                 Vec::new()
             },
             alternates: self.uplink.relay().into_iter().collect(),
+            control: self.uplink.known_control().to_vec(),
         };
         route.path.push(self.record.node.clone());
         route.alternates.extend(&self.alternates);
--- a/trefoillock-control/src/source_machine.rs
+++ b/trefoillock-control/src/source_machine.rs
@@ -56,6 +56,8 @@
     pub role: SourceRole,
     /// The newest configuration that it has applied.
     pub config: Arc<Config>,
+    /// The mesh addresses of all control replicas.
+    pub replicas: Vec<SocketAddr>,
 }
 
 /// What the machine wants done.
@@ -85,6 +87,7 @@
     is_dirty: bool,
     quarantined: BTreeMap<Fingerprint, Timestamp>,
     relays: Vec<(DataCentre, SocketAddr)>,
+    replicas: Vec<SocketAddr>,
     evidence: Evidence,
     crashes: Vec<CrashReport>,
     seen_crashes: BTreeSet<CrashReport>,
@@ -111,6 +114,7 @@
             is_dirty: false,
             quarantined: BTreeMap::new(),
             relays: Vec::new(),
+            replicas: Vec::new(),
             evidence: Evidence::default(),
             crashes: Vec::new(),
             seen_crashes: BTreeSet::new(),
@@ -121,6 +125,7 @@
     /// Takes the state of the replica.
     pub fn set_state(&mut self, now: Timestamp, state: &SourceState) {
         self.set_config(&state.config);
+        self.replicas.clone_from(&state.replicas);
         if state.role != self.role {
             let before = std::mem::replace(&mut self.role, state.role);
             match (before, state.role) {
@@ -287,6 +292,7 @@
         let route = Route {
             path: Vec::new(),
             alternates: self.alternates(key),
+            control: self.replicas.clone(),
         };
         if let Some(beat) = self.distributor.beat(key, floor, route) {
             let beat = DownMessage::Beat(Box::new(beat));
--- a/trefoillock-control/src/uplink.rs
+++ b/trefoillock-control/src/uplink.rs
@@ -56,6 +56,11 @@
 /// another one when it falls silent or has lost its own way to the leader.
 #[derive(Debug)]
 pub struct Uplink {
+    /// The control replicas that the settings name.
+    seeds: Vec<SocketAddr>,
+    /// The control replicas that the leader named last.
+    learned: Vec<SocketAddr>,
+    /// Both, each once.
     control: Vec<SocketAddr>,
     alternates: Vec<SocketAddr>,
     phase: Phase,
@@ -78,6 +83,8 @@
     pub fn new(control: Vec<SocketAddr>, rng: &mut Pcg64Mcg) -> Self {
         let attempt = rng.random_range(0..control.len().max(1));
         Self {
+            seeds: control.clone(),
+            learned: Vec::new(),
             control,
             alternates: Vec::new(),
             phase: Phase::Waiting {
@@ -316,6 +323,35 @@
         self.alternates.extend_from_slice(alternates);
     }
 
+    /// Notes the control replicas that the leader named; those of the settings stay known.
+    pub fn learn_control(&mut self, learned: &[SocketAddr]) {
+        if !learned.is_empty() && learned != self.learned {
+            self.learned = learned.to_vec();
+            self.join_control();
+        }
+    }
+
+    /// Replaces the control replicas that the settings name.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+        self.join_control();
+    }
+
+    fn join_control(&mut self) {
+        self.control.clone_from(&self.learned);
+        let missing = self
+            .seeds
+            .iter()
+            .filter(|seed| !self.learned.contains(seed));
+        self.control.extend(missing);
+    }
+
+    /// The control replicas that the leader named last.
+    #[must_use]
+    pub fn known_control(&self) -> &[SocketAddr] {
+        &self.learned
+    }
+
     /// The connection to the parent that accepted this node.
     #[must_use]
     pub const fn attached(&self) -> Option<LinkId> {
--- a/trefoillock-control/tests/common/mod.rs
+++ b/trefoillock-control/tests/common/mod.rs
@@ -38,5 +38,6 @@
         slots: 9,
         connections: 120,
         state: MemberState::Up,
+        instance: None,
     }
 }
--- a/trefoillock-control/tests/sockets.rs
+++ b/trefoillock-control/tests/sockets.rs
@@ -35,7 +35,11 @@
     async fn start(role: SourceRole, config: Arc<Config>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let (state, state_rx) = watch::channel(SourceState { role, config });
+        let (state, state_rx) = watch::channel(SourceState {
+            role,
+            config,
+            replicas: Vec::new(),
+        });
         let (quarantined, quarantined_rx) = watch::channel(BTreeMap::new());
         let inputs = SourceInputs {
             state: state_rx,
--- a/trefoillock-core/src/config.rs
+++ b/trefoillock-core/src/config.rs
@@ -8,8 +8,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    ConfigVersion, GuardSet, GuardSlot, GuardTable, MoveId, Pool, PoolName, Route, RouteName,
-    Share, Tables,
+    ConfigVersion, GuardSet, GuardSlot, GuardTable, MoveId, Pool, PoolName, RequestLimits,
+    RolloutShare, Route, RouteName, ServiceName, Share, Tables,
 };
 
 /// How the calls of a route on the move are divided between its two pools.
@@ -63,21 +63,23 @@
     tables: Tables,
     moves: BTreeMap<RouteName, MoveShare>,
     guards: GuardTable,
+    #[serde(default)]
+    rollouts: BTreeMap<ServiceName, RolloutShare>,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        let (tables, moves, guards) = (Tables::default(), BTreeMap::new(), GuardTable::new());
-        let zero = ConfigVersion::ZERO;
-        let hash = content_hash(zero, zero, &tables, &moves, &guards);
-        Self {
-            version: zero,
-            tables_version: zero,
-            hash,
-            tables,
-            moves,
-            guards,
-        }
+        let mut config = Self {
+            version: ConfigVersion::ZERO,
+            tables_version: ConfigVersion::ZERO,
+            hash: 0,
+            tables: Tables::default(),
+            moves: BTreeMap::new(),
+            guards: GuardTable::new(),
+            rollouts: BTreeMap::new(),
+        };
+        config.hash = config.content_hash();
+        config
     }
 }
 
@@ -94,15 +96,16 @@
         moves: BTreeMap<RouteName, MoveShare>,
         guards: GuardTable,
     ) -> Result<Self, ConfigError> {
-        let hash = content_hash(version, tables_version, &tables, &moves, &guards);
-        let config = Self {
+        let mut config = Self {
             version,
             tables_version,
-            hash,
+            hash: 0,
             tables,
             moves,
             guards,
+            rollouts: BTreeMap::new(),
         };
+        config.hash = config.content_hash();
         config.check()?;
         Ok(config)
     }
@@ -137,6 +140,35 @@
         &self.moves
     }
 
+    /// Returns the configuration with other roll-outs.
+    #[must_use]
+    pub fn with_rollouts(mut self, rollouts: BTreeMap<ServiceName, RolloutShare>) -> Self {
+        self.rollouts = rollouts;
+        self.hash = self.content_hash();
+        self
+    }
+
+    /// The latest roll-out of each service that had one.
+    #[must_use]
+    pub const fn rollouts(&self) -> &BTreeMap<ServiceName, RolloutShare> {
+        &self.rollouts
+    }
+
+    /// The hash of version and content.
+    fn content_hash(&self) -> u64 {
+        let Self {
+            version,
+            tables_version,
+            hash: _,
+            tables,
+            moves,
+            guards,
+            rollouts,
+        } = self;
+        let content = (version, tables_version, tables, moves, guards, rollouts);
+        xxh3_64(&serde_json::to_vec(&content).unwrap_or_default())
+    }
+
     /// The guards of idempotency keys.
     #[must_use]
     pub const fn guards(&self) -> &GuardTable {
@@ -154,7 +186,7 @@
             .tables
             .routes()
             .values()
-            .map(|route| (&route.name, &route.pool));
+            .flat_map(|route| route.pools().map(move |pool| (&route.name, pool)));
         let of_moves = self
             .moves
             .iter()
@@ -164,14 +196,7 @@
                 return Err(ConfigError::DanglingPool(route.clone(), pool.clone()));
             }
         }
-        let hash = content_hash(
-            self.version,
-            self.tables_version,
-            &self.tables,
-            &self.moves,
-            &self.guards,
-        );
-        if hash != self.hash {
+        if self.content_hash() != self.hash {
             return Err(ConfigError::WrongHash(self.version));
         }
         Ok(())
@@ -184,7 +209,7 @@
         let (name, is_new) = match self.moves.get(&route.name) {
             Some(share) if share.share.takes(draw) => (&share.to, true),
             Some(share) => (&share.from, false),
-            None => (&route.pool, false),
+            None => (route.drawn_pool(draw), false),
         };
         self.tables.pools().get(name).map(|pool| (pool, is_new))
     }
@@ -214,6 +239,8 @@
             pools_removed: diff.pools_removed,
             moves: newer.moves.clone(),
             guards: guards.map(|(slot, set)| (*slot, set.clone())).collect(),
+            limits: *newer.tables.limits(),
+            rollouts: newer.rollouts.clone(),
         }
     }
 
@@ -254,6 +281,7 @@
         );
         let tables =
             Tables::from_rows(routes, pools).map_err(|_| ConfigError::WrongHash(delta.version))?;
+        let tables = tables.with_limits(delta.limits);
         let mut guards = self.guards.clone();
         guards.extend(delta.guards.iter().map(|(slot, set)| (*slot, set.clone())));
         let config = Self {
@@ -263,24 +291,13 @@
             tables,
             moves: delta.moves.clone(),
             guards,
+            rollouts: delta.rollouts.clone(),
         };
         config.check()?;
         Ok(config)
     }
 }
 
-/// The hash of a configuration's version and content.
-fn content_hash(
-    version: ConfigVersion,
-    tables_version: ConfigVersion,
-    tables: &Tables,
-    moves: &BTreeMap<RouteName, MoveShare>,
-    guards: &GuardTable,
-) -> u64 {
-    let content = serde_json::to_vec(&(version, tables_version, tables, moves, guards));
-    xxh3_64(&content.unwrap_or_default())
-}
-
 /// The difference between two configurations.
 #[data]
 pub struct ConfigDelta {
@@ -304,4 +321,10 @@
     pub moves: BTreeMap<RouteName, MoveShare>,
     /// Slots whose guards changed.
     pub guards: BTreeMap<GuardSlot, GuardSet>,
+    /// The limits of requests of the newer configuration.
+    #[serde(default)]
+    pub limits: RequestLimits,
+    /// The roll-outs of the newer configuration.
+    #[serde(default)]
+    pub rollouts: BTreeMap<ServiceName, RolloutShare>,
 }
--- a/trefoillock-core/src/lib.rs
+++ b/trefoillock-core/src/lib.rs
@@ -31,6 +31,8 @@
 mod outcome;
 mod pool;
 mod raw_tables;
+mod request_limits;
+mod rollout;
 mod route;
 mod share;
 mod stable_hash;
@@ -48,13 +50,20 @@
 pub use member::{Announcement, CrashReport, Fingerprint, Member, MemberState, Members, ServerId};
 pub use moves::{HoldReason, Move, MoveEnd, MoveState, MoveStep, RiskReason};
 pub use name::{
-    DataCentre, EditId, HostName, NameError, NodeId, PoolName, Region, RouteName, ServiceName,
-    VersionLabel,
+    DataCentre, EditId, HostName, InstanceId, NameError, NodeId, PoolName, Region, RouteName,
+    ServiceName, VersionLabel,
 };
 pub use outcome::{Outcome, RefusalReason, headers};
-pub use pool::{Pool, PoolPolicy};
-pub use raw_tables::{RawMatch, RawPool, RawPoolPolicy, RawRoute, RawTables, RawTarget};
-pub use route::{Method, PathPrefix, Route, RouteClass, RouteMatch, ServiceTarget};
+pub use pool::{Pool, PoolPolicy, PoolVersions};
+pub use raw_tables::{
+    RawMatch, RawPool, RawPoolPolicy, RawPoolWeight, RawRoute, RawTables, RawTarget,
+};
+pub use request_limits::RequestLimits;
+pub use rollout::{Rollout, RolloutShare, RolloutState, RolloutStep};
+pub use route::{
+    DEFAULT_MAX_ATTEMPTS, DEFAULT_PRIORITY, Method, PathPrefix, PoolWeight, Route, RouteClass,
+    RouteMatch, ServiceTarget,
+};
 pub use share::Share;
 pub use stable_hash::stable_hash;
 pub use tables::{TableError, TableErrors, Tables};
--- a/trefoillock-core/src/member.rs
+++ b/trefoillock-core/src/member.rs
@@ -5,7 +5,8 @@
 use trefoillock_macros::data;
 
 use crate::{
-    DataCentre, Incarnation, MembersVersion, NodeId, Pool, ServiceName, Timestamp, VersionLabel,
+    DataCentre, Incarnation, InstanceId, MembersVersion, NodeId, Pool, ServiceName, Timestamp,
+    VersionLabel,
 };
 
 /// The identity of a backend server: the node beside it and the address it listens on.
@@ -51,6 +52,9 @@
     pub connections: u32,
     /// Whether it takes new work.
     pub state: MemberState,
+    /// The identity that the process of the backend server gives itself, if it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<InstanceId>,
 }
 
 /// A backend server with the place of the node beside it.
@@ -72,7 +76,7 @@
     /// Whether the backend server belongs to a pool.
     #[must_use]
     pub fn is_in(&self, pool: &Pool) -> bool {
-        self.announcement.service == pool.service && self.announcement.version == pool.version
+        self.announcement.service == pool.service && pool.versions.holds(&self.announcement.version)
     }
 
     /// Whether the backend server takes new work.
--- a/trefoillock-core/src/name.rs
+++ b/trefoillock-core/src/name.rs
@@ -121,6 +121,10 @@
     /// The name of a region, which holds data centres.
     Region
 );
+name_type!(
+    /// The identity that a process of a backend server gives itself at its start.
+    InstanceId
+);
 name_type!(
     /// The identity of an edit, chosen by the operator's client; a resend carries the same one.
     EditId
--- a/trefoillock-core/src/outcome.rs
+++ b/trefoillock-core/src/outcome.rs
@@ -79,6 +79,8 @@
     BadRequest,
     /// The node has no configuration yet.
     NotReady,
+    /// The backend server sent bytes that cannot be the answer to the call.
+    SpoiledAnswer,
 }
 
 impl RefusalReason {
@@ -101,6 +103,7 @@
             Self::ConnectionLost => "connection-lost",
             Self::BadRequest => "bad-request",
             Self::NotReady => "not-ready",
+            Self::SpoiledAnswer => "spoiled-answer",
         }
     }
 
@@ -113,7 +116,7 @@
             Self::InProgress | Self::AlreadyRun | Self::KeyUnknown => 409,
             Self::KeyReused => 422,
             Self::Quarantined => 403,
-            Self::ConnectionLost => 502,
+            Self::ConnectionLost | Self::SpoiledAnswer => 502,
             Self::Deadline => 504,
             Self::NoServer
             | Self::Overloaded
--- a/trefoillock-core/src/pool.rs
+++ b/trefoillock-core/src/pool.rs
@@ -4,6 +4,40 @@
 
 use crate::{PoolName, ServiceName, VersionLabel};
 
+/// Which versions of its service belong to a pool.
+#[data]
+#[derive(PartialOrd, Ord, Hash)]
+#[serde(rename_all = "kebab-case")]
+pub enum PoolVersions {
+    /// All versions.
+    Any,
+    /// One version.
+    Only(VersionLabel),
+    /// All versions but one.
+    Except(VersionLabel),
+}
+
+impl PoolVersions {
+    /// Whether a version belongs to the pool.
+    #[must_use]
+    pub fn holds(&self, version: &VersionLabel) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => only == version,
+            Self::Except(except) => except != version,
+        }
+    }
+
+    /// The single version of the pool, if there is one.
+    #[must_use]
+    pub const fn single(&self) -> Option<&VersionLabel> {
+        match self {
+            Self::Only(only) => Some(only),
+            Self::Any | Self::Except(_) => None,
+        }
+    }
+}
+
 /// How the backend servers of a pool are loaded.
 #[data(key)]
 pub struct PoolPolicy {
@@ -29,15 +63,15 @@
     }
 }
 
-/// A row of the table of pools: all backend servers that run one version of one service.
+/// A row of the table of pools: the backend servers of one service, of one version or of all.
 #[data]
 pub struct Pool {
     /// The name of the pool.
     pub name: PoolName,
     /// The service whose backend servers form the pool.
     pub service: ServiceName,
-    /// The version that the backend servers run.
-    pub version: VersionLabel,
+    /// The versions that the backend servers run.
+    pub versions: PoolVersions,
     /// How the backend servers are loaded.
     pub policy: PoolPolicy,
 }
--- a/trefoillock-core/src/raw_tables.rs
+++ b/trefoillock-core/src/raw_tables.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::{Pool, Route, TableError, TableErrors, Tables};
+use crate::{Pool, RequestLimits, Route, TableError, TableErrors, Tables};
 
 /// What a route matches, as written.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -29,6 +29,16 @@
     pub latency_ms: u32,
 }
 
+/// The part of a pool in the calls of a route.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPoolWeight {
+    /// The name of the pool.
+    pub pool: String,
+    /// The weight.
+    pub weight: u32,
+}
+
 /// A route, as written.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -50,6 +60,15 @@
     /// The time by which a move must be done, as RFC 3339 text.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub move_deadline: Option<String>,
+    /// Pools that share the calls of the route by weight.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<RawPoolWeight>,
+    /// The largest number of backend servers that one call is sent to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_attempts: Option<u32>,
+    /// The rank of the calls under overload; 0 is the highest.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u8>,
 }
 
 /// The policy of a pool, as written; a missing field takes its default.
@@ -78,8 +97,9 @@
     pub name: String,
     /// The service whose backend servers form the pool.
     pub service: String,
-    /// The version that the backend servers run.
-    pub version: String,
+    /// The version; without one the pool holds all versions of the service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<String>,
     /// The policy.
     #[serde(default)]
     pub policy: RawPoolPolicy,
@@ -93,6 +113,9 @@
     pub routes: Vec<RawRoute>,
     /// The rows of the table of pools.
     pub pools: Vec<RawPool>,
+    /// The limits of the requests of callers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<RequestLimits>,
 }
 
 impl RawTables {
@@ -122,18 +145,34 @@
         let mut errors = Vec::new();
         for key in object
             .keys()
-            .filter(|key| !matches!(key.as_str(), "routes" | "pools"))
+            .filter(|key| !matches!(key.as_str(), "routes" | "pools" | "limits"))
         {
             errors.push(TableError::new(format!("$.{key}"), "is not a known field"));
         }
         let routes = read_rows(value, "routes", &mut errors);
         let pools = read_rows(value, "pools", &mut errors);
+        let limits = read_limits(value, &mut errors);
         TableErrors::check(errors)?;
-        Ok(Self { routes, pools })
+        Ok(Self {
+            routes,
+            pools,
+            limits,
+        })
     }
 }
 
 /// Reads the rows of one table and collects the errors of all of them.
+fn read_limits(value: &Value, errors: &mut Vec<TableError>) -> Option<RequestLimits> {
+    let limits = value.get("limits").filter(|limits| !limits.is_null())?;
+    match RequestLimits::deserialize(limits) {
+        Ok(limits) => Some(limits),
+        Err(error) => {
+            errors.push(TableError::new("$.limits", error.to_string()));
+            None
+        }
+    }
+}
+
 fn read_rows<T>(value: &Value, table: &str, errors: &mut Vec<TableError>) -> Vec<T>
 where
     T: serde::de::DeserializeOwned,
@@ -159,6 +198,15 @@
     read
 }
 
+impl From<&crate::PoolWeight> for RawPoolWeight {
+    fn from(part: &crate::PoolWeight) -> Self {
+        Self {
+            pool: part.pool.to_string(),
+            weight: part.weight,
+        }
+    }
+}
+
 impl From<&Route> for RawRoute {
     fn from(route: &Route) -> Self {
         Self {
@@ -176,6 +224,9 @@
                 latency_ms: route.target.latency_ms,
             }),
             move_deadline: route.move_deadline.map(crate::Timestamp::to_rfc3339),
+            split: route.split.iter().map(RawPoolWeight::from).collect(),
+            max_attempts: Some(route.max_attempts),
+            priority: Some(route.priority),
         }
     }
 }
@@ -185,7 +236,7 @@
         Self {
             name: pool.name.to_string(),
             service: pool.service.to_string(),
-            version: pool.version.to_string(),
+            version: pool.versions.single().map(ToString::to_string),
             policy: RawPoolPolicy {
                 slots: Some(pool.policy.slots),
                 connections: Some(pool.policy.connections),
@@ -209,6 +260,7 @@
                 .values()
                 .map(|pool| RawPool::from(pool.as_ref()))
                 .collect(),
+            limits: Some(*tables.limits()).filter(|limits| *limits != RequestLimits::default()),
         }
     }
 }
--- a/trefoillock-core/src/route.rs
+++ b/trefoillock-core/src/route.rs
@@ -6,6 +6,11 @@
 
 use crate::{HostName, PoolName, RouteName, Timestamp};
 
+/// The number of backend servers that one call may be sent to, unless its route says otherwise.
+pub const DEFAULT_MAX_ATTEMPTS: u32 = 4;
+/// The rank of a route that names none; 0 is the highest.
+pub const DEFAULT_PRIORITY: u8 = 4;
+
 /// What kind of calls a route carries. It decides retries, hedges and the order in which calls
 /// are refused under overload.
 #[data(key)]
@@ -172,6 +177,23 @@
     pub latency_ms: u32,
 }
 
+/// The part of a pool in the calls of a route.
+#[data]
+pub struct PoolWeight {
+    /// The pool.
+    pub pool: PoolName,
+    /// The weight, relative to the other pools of the route.
+    pub weight: u32,
+}
+
+const fn default_max_attempts() -> u32 {
+    DEFAULT_MAX_ATTEMPTS
+}
+
+const fn default_priority() -> u8 {
+    DEFAULT_PRIORITY
+}
+
 /// A row of the table of routes.
 #[data]
 pub struct Route {
@@ -189,6 +211,15 @@
     pub target: ServiceTarget,
     /// The time by which a move to another pool must be done.
     pub move_deadline: Option<Timestamp>,
+    /// The pools that share the calls of the route by weight; empty if `pool` takes all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<PoolWeight>,
+    /// The largest number of backend servers that one call is sent to.
+    #[serde(default = "default_max_attempts")]
+    pub max_attempts: u32,
+    /// The rank of the calls under overload; 0 is the highest.
+    #[serde(default = "default_priority")]
+    pub priority: u8,
 }
 
 impl Route {
@@ -197,6 +228,28 @@
     pub const fn timeout(&self) -> Duration {
         Duration::from_millis(self.timeout_ms as u64)
     }
+
+    /// The pools that the route names.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        std::iter::once(&self.pool).chain(self.split.iter().map(|part| &part.pool))
+    }
+
+    /// The pool that a draw falls to, by the weights of the split.
+    #[must_use]
+    pub fn drawn_pool(&self, draw: u32) -> &PoolName {
+        let total: u64 = self.split.iter().map(|part| u64::from(part.weight)).sum();
+        let Some(mut left) = u64::from(draw).checked_rem(total) else {
+            return &self.pool;
+        };
+        for part in &self.split {
+            let weight = u64::from(part.weight);
+            if left < weight {
+                return &part.pool;
+            }
+            left -= weight;
+        }
+        &self.pool
+    }
 }
 
 #[cfg(test)]
--- a/trefoillock-core/src/tables.rs
+++ b/trefoillock-core/src/tables.rs
@@ -5,14 +5,17 @@
 use trefoillock_macros::data;
 
 use crate::{
-    Pool, PoolName, PoolPolicy, RawMatch, RawPool, RawPoolPolicy, RawRoute, RawTables, Route,
-    RouteClass, RouteMatch, RouteName, ServiceTarget, TablesDiff, Timestamp,
+    DEFAULT_MAX_ATTEMPTS, DEFAULT_PRIORITY, Pool, PoolName, PoolPolicy, PoolVersions, PoolWeight,
+    RawMatch, RawPool, RawPoolPolicy, RawRoute, RawTables, RequestLimits, Route, RouteClass,
+    RouteMatch, RouteName, ServiceTarget, TablesDiff, Timestamp,
 };
 
 /// The largest number of rows of each table.
 const MAX_ROWS: usize = 20_000;
 /// The longest timeout of a call, in milliseconds.
 const MAX_TIMEOUT_MS: u32 = 3_600_000;
+/// The largest number of backend servers that a call may be sent to.
+const MAX_ATTEMPTS: u32 = 100;
 /// The largest number of slots or connections of a backend server.
 const MAX_SLOTS: u32 = 100_000;
 /// The longest time that a call may wait for a slot, in milliseconds.
@@ -101,6 +104,12 @@
 pub struct Tables {
     routes: BTreeMap<RouteName, Arc<Route>>,
     pools: BTreeMap<PoolName, Arc<Pool>>,
+    #[serde(default, skip_serializing_if = "is_default")]
+    limits: RequestLimits,
+}
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
 }
 
 impl Tables {
@@ -116,6 +125,19 @@
         &self.pools
     }
 
+    /// The limits of the requests of callers.
+    #[must_use]
+    pub const fn limits(&self) -> &RequestLimits {
+        &self.limits
+    }
+
+    /// Returns the tables with other limits of requests.
+    #[must_use]
+    pub const fn with_limits(mut self, limits: RequestLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     /// Builds tables from rows that were checked one by one.
     ///
     /// # Errors
@@ -125,14 +147,19 @@
         routes: BTreeMap<RouteName, Arc<Route>>,
         pools: BTreeMap<PoolName, Arc<Pool>>,
     ) -> Result<Self, TableErrors> {
-        let dangling = routes
+        let named = routes
             .values()
-            .filter(|route| !pools.contains_key(&route.pool));
-        let errors = dangling
-            .map(|route| missing_pool(&route.name, &route.pool))
+            .flat_map(|route| route.pools().map(move |pool| (&route.name, pool)));
+        let errors = named
+            .filter(|(_, pool)| !pools.contains_key(*pool))
+            .map(|(route, pool)| missing_pool(route, pool))
             .collect();
         TableErrors::check(errors)?;
-        Ok(Self { routes, pools })
+        Ok(Self {
+            routes,
+            pools,
+            limits: RequestLimits::default(),
+        })
     }
 
     /// Returns the tables with the pool of one route replaced.
@@ -154,7 +181,7 @@
         };
         let mut routes = self.routes.clone();
         routes.insert(route.clone(), Arc::new(row));
-        Self::from_rows(routes, self.pools.clone())
+        Ok(Self::from_rows(routes, self.pools.clone())?.with_limits(self.limits))
     }
 
     /// The rows in which `newer` differs from these tables.
@@ -223,10 +250,12 @@
         let mut routes = BTreeMap::new();
         let mut matches = BTreeMap::new();
         for (at, row) in raw.routes.iter().enumerate() {
-            if !pool_names.contains(&row.pool.as_str()) {
+            let split = row.split.iter().map(|part| part.pool.as_str());
+            let named = std::iter::once(row.pool.as_str()).chain(split);
+            for pool in named.filter(|pool| !pool_names.contains(pool)) {
                 check.error(
                     format!("$.routes[{at}].pool"),
-                    format!("names the pool {:?}, which does not exist", row.pool),
+                    format!("names the pool {pool:?}, which does not exist"),
                 );
             }
             let Some(route) = check.route(at, row) else {
@@ -246,7 +275,8 @@
             }
         }
         TableErrors::check(check.errors)?;
-        Self::from_rows(routes, pools)
+        let limits = raw.limits.unwrap_or_default();
+        Ok(Self::from_rows(routes, pools)?.with_limits(limits))
     }
 }
 
@@ -298,12 +328,17 @@
         let place = format!("$.pools[{at}]");
         let name = self.parse(format!("{place}.name"), &row.name);
         let service = self.parse(format!("{place}.service"), &row.service);
-        let version = self.parse(format!("{place}.version"), &row.version);
+        let versions = match &row.version {
+            None => Some(PoolVersions::Any),
+            Some(version) => self
+                .parse(format!("{place}.version"), version)
+                .map(PoolVersions::Only),
+        };
         let policy = self.policy(&format!("{place}.policy"), &row.policy);
         Some(Pool {
             name: name?,
             service: service?,
-            version: version?,
+            versions: versions?,
             policy,
         })
     }
@@ -357,6 +392,14 @@
             MAX_TIMEOUT_MS,
         );
         let target = self.target(&place, row);
+        let split = self.split(&place, row);
+        let max_attempts = row.max_attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS);
+        self.range(
+            format!("{place}.max_attempts"),
+            max_attempts,
+            1,
+            MAX_ATTEMPTS,
+        );
         let move_deadline = self.deadline(
             format!("{place}.move_deadline"),
             row.move_deadline.as_deref(),
@@ -369,9 +412,29 @@
             timeout_ms: row.timeout_ms,
             target,
             move_deadline,
+            split,
+            max_attempts,
+            priority: row.priority.unwrap_or(DEFAULT_PRIORITY),
         })
     }
 
+    fn split(&mut self, place: &str, row: &RawRoute) -> Vec<PoolWeight> {
+        let mut parts = Vec::with_capacity(row.split.len());
+        for (at, part) in row.split.iter().enumerate() {
+            if let Some(pool) = self.parse(format!("{place}.split[{at}].pool"), &part.pool) {
+                let weight = part.weight;
+                parts.push(PoolWeight { pool, weight });
+            }
+        }
+        if !parts.is_empty() && parts.iter().all(|part| part.weight == 0) {
+            self.error(
+                format!("{place}.split"),
+                "must have a weight that is above 0",
+            );
+        }
+        parts
+    }
+
     fn matches(&mut self, place: &str, row: &RawMatch) -> Option<RouteMatch> {
         let errors = self.errors.len();
         let host = row.host.as_deref().map(str::to_ascii_lowercase);
--- a/trefoillock-moves/src/servers.rs
+++ b/trefoillock-moves/src/servers.rs
@@ -92,7 +92,7 @@
     /// Whether a backend server belongs, or belonged of late, to a pool.
     pub(crate) fn is_in(&self, server: &ServerId, pool: &Pool) -> bool {
         let seen = self.seen.get(server);
-        seen.is_some_and(|seen| seen.service == pool.service && seen.version == pool.version)
+        seen.is_some_and(|seen| seen.service == pool.service && pool.versions.holds(&seen.version))
     }
 
     /// The backend servers of a pool that take work.
--- a/trefoillock-moves/tests/moves/bench.rs
+++ b/trefoillock-moves/tests/moves/bench.rs
@@ -185,6 +185,7 @@
             slots,
             connections: 120,
             state: MemberState::Up,
+            instance: None,
         };
         let member = Member {
             id: id.clone(),
--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -6,7 +6,7 @@
 use tokio_util::task::TaskTracker;
 use trefoillock_backend::{Body, CallFailure, LocalServers};
 use trefoillock_core::{DataCentre, Incarnation, Member, NodeId};
-use trefoillock_process::Clock;
+use trefoillock_process::{CallSettings, Clock};
 use trefoillock_rpc::Token;
 
 use crate::{Delivery, EvidenceRecorder, Guards, NodeView, destination, peer_clients::PeerClients};
@@ -25,6 +25,7 @@
     peers: PeerClients,
     guards: Arc<Guards>,
     tasks: TaskTracker,
+    calls: CallSettings,
 }
 
 impl NodeContext {
@@ -51,9 +52,23 @@
             recorder: Arc::new(EvidenceRecorder::new()),
             servers,
             tasks: TaskTracker::new(),
+            calls: CallSettings::default(),
         }
     }
 
+    /// Sets how calls are treated beyond what their routes say.
+    #[must_use]
+    pub const fn with_calls(mut self, calls: CallSettings) -> Self {
+        self.calls = calls;
+        self
+    }
+
+    /// How calls are treated beyond what their routes say.
+    #[must_use]
+    pub const fn calls(&self) -> &CallSettings {
+        &self.calls
+    }
+
     /// The identity of this node.
     #[must_use]
     pub const fn node(&self) -> &NodeId {
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -33,7 +33,7 @@
     strip_internal(req.headers_mut());
     req.headers_mut().remove(header::EXPECT);
     *req.version_mut() = http::Version::HTTP_11;
-    if delivery.class != RouteClass::Posting {
+    if delivery.class != RouteClass::Posting || !cx.calls().detached_postings {
         return exchange(cx.clone(), server, delivery, req).await;
     }
     let tasks = cx.tasks().clone();
--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -66,16 +66,17 @@
 const HTTP_2: u8 = 2;
 
 /// Serves a listening socket until `stop` is cancelled and all calls in flight have ended.
-pub async fn serve_http<H, F>(
+pub async fn serve_http<L, H, F>(
     listener: TcpListener,
-    limits: ServerLimits,
+    limits: L,
     handler: H,
     stop: CancellationToken,
 ) where
+    L: Fn() -> ServerLimits,
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let open = Arc::new(Semaphore::new(limits.connections));
+    let open = Arc::new(Semaphore::new(limits().connections));
     let tasks = TaskTracker::new();
     let start = |stream: TcpStream| {
         let Ok(permit) = open.clone().try_acquire_owned() else {
@@ -84,6 +85,7 @@
         };
         let handler = handler.clone();
         let stop = stop.clone();
+        let limits = limits();
         tasks.spawn(async move {
             serve_connection(stream, limits, handler, stop).await;
             drop(permit);
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -41,4 +41,4 @@
 pub use route_index::RouteIndex;
 pub use serve_peer::serve_peer;
 pub use service_counts::{RouteCounts, ServiceCounts};
-pub use view::{HeldConfig, NodeView};
+pub use view::{HeldConfig, NodeView, RolloutSides};
--- a/trefoillock-node/src/serve_peer.rs
+++ b/trefoillock-node/src/serve_peer.rs
@@ -46,7 +46,7 @@
             answer(cx, req).await
         }
     };
-    serve_http(listener, limits, handler, stop).await;
+    serve_http(listener, || limits, handler, stop).await;
     tasks.close();
     tasks.wait().await;
     stop_guard.cancel();
--- a/trefoillock-node/src/view.rs
+++ b/trefoillock-node/src/view.rs
@@ -4,7 +4,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use trefoillock_core::{
-    Config, CrashReport, Fingerprint, Map, Member, Members, PoolName, Timestamp,
+    Config, CrashReport, Fingerprint, Map, Member, Members, Pool, PoolName, PoolVersions,
+    RolloutShare, Timestamp,
 };
 use trefoillock_policy::Quarantine;
 
@@ -15,6 +16,34 @@
 pub struct HeldConfig {
     config: Arc<Config>,
     index: RouteIndex,
+    sides: Map<PoolName, RolloutSides>,
+}
+
+/// The two parts of a pool whose service has had a roll-out.
+#[derive(Debug)]
+pub struct RolloutSides {
+    /// The roll-out.
+    pub rollout: RolloutShare,
+    /// The backend servers of all other versions.
+    pub old: Arc<Pool>,
+    /// The backend servers of the new version.
+    pub new: Arc<Pool>,
+}
+
+impl RolloutSides {
+    fn new(pool: &Pool, rollout: &RolloutShare) -> Self {
+        let side = |versions| {
+            Arc::new(Pool {
+                versions,
+                ..pool.clone()
+            })
+        };
+        Self {
+            rollout: rollout.clone(),
+            old: side(PoolVersions::Except(rollout.version.clone())),
+            new: side(PoolVersions::Only(rollout.version.clone())),
+        }
+    }
 }
 
 impl HeldConfig {
@@ -29,10 +58,39 @@
     pub const fn index(&self) -> &RouteIndex {
         &self.index
     }
+
+    /// The parts of a pool of all versions whose service has had a roll-out.
+    #[must_use]
+    pub fn sides(&self, pool: &PoolName) -> Option<&RolloutSides> {
+        self.sides.get(pool)
+    }
+
+    fn new(config: Arc<Config>) -> Self {
+        let of_all = |pool: &&Arc<Pool>| pool.versions == PoolVersions::Any;
+        let pools = config.tables().pools().values().filter(of_all);
+        let sides = pools.filter_map(|pool| {
+            let rollout = config.rollouts().get(&pool.service)?;
+            Some((pool.name.clone(), RolloutSides::new(pool, rollout)))
+        });
+        Self {
+            sides: sides.collect(),
+            index: RouteIndex::new(&config),
+            config,
+        }
+    }
+
+    /// The pools of the tables and the parts of those with a roll-out.
+    fn pools(&self) -> impl Iterator<Item = &Arc<Pool>> {
+        let sides = self
+            .sides
+            .values()
+            .flat_map(|sides| [&sides.old, &sides.new]);
+        self.config.tables().pools().values().chain(sides)
+    }
 }
 
 /// The backend servers that take new work, by pool.
-type Placements = Map<PoolName, Arc<[Arc<Member>]>>;
+type Placements = Map<PoolName, Vec<(PoolVersions, Arc<[Arc<Member>]>)>>;
 
 /// The configuration and the list of members that a node holds. Both are replaced as a whole
 /// and never by an older version.
@@ -59,11 +117,10 @@
         if held.is_some_and(|held| config.version() <= held.config.version()) {
             return false;
         }
-        let index = RouteIndex::new(&config);
-        let placements = place(&config, &self.members.load());
+        let held = HeldConfig::new(config);
+        let placements = place(&held, &self.members.load());
         self.placements.store(Arc::new(placements));
-        self.config
-            .store(Some(Arc::new(HeldConfig { config, index })));
+        self.config.store(Some(Arc::new(held)));
         true
     }
 
@@ -75,7 +132,7 @@
             return false;
         }
         if let Some(held) = self.config.load_full() {
-            let placements = place(&held.config, &members);
+            let placements = place(&held, &members);
             self.placements.store(Arc::new(placements));
         }
         self.quarantine().sync(&members.quarantined);
@@ -125,18 +182,20 @@
 
     /// The backend servers of a pool that take new work.
     #[must_use]
-    pub fn servers(&self, pool: &PoolName) -> Arc<[Arc<Member>]> {
+    pub fn servers(&self, pool: &Pool) -> Arc<[Arc<Member>]> {
         let placements = self.placements.load();
-        placements.get(pool).cloned().unwrap_or_default()
+        let parts = placements.get(&pool.name);
+        let part = parts.and_then(|parts| parts.iter().find(|(v, _)| *v == pool.versions));
+        part.map(|(_, servers)| servers.clone()).unwrap_or_default()
     }
 }
 
-fn place(config: &Config, members: &Members) -> Placements {
-    let pools = config.tables().pools().values();
-    pools
-        .map(|pool| {
-            let servers: Arc<[_]> = members.up_in(pool).cloned().collect();
-            (pool.name.clone(), servers)
-        })
-        .collect()
+fn place(held: &HeldConfig, members: &Members) -> Placements {
+    let mut placements = Placements::default();
+    for pool in held.pools() {
+        let servers: Arc<[_]> = members.up_in(pool).cloned().collect();
+        let parts = placements.entry(pool.name.clone()).or_default();
+        parts.push((pool.versions.clone(), servers));
+    }
+    placements
 }
--- a/trefoillock-operator/src/messages.rs
+++ b/trefoillock-operator/src/messages.rs
@@ -50,6 +50,9 @@
     pub kind: ApiErrorKind,
     /// What failed, in words.
     pub message: String,
+    /// The mesh address of the leader, if the replica does not lead and knows it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leader: Option<SocketAddr>,
 }
 
 impl ApiError {
@@ -59,8 +62,16 @@
         Self {
             kind,
             message: message.into(),
+            leader: None,
         }
     }
+
+    /// Names the leader.
+    #[must_use]
+    pub const fn with_leader(mut self, leader: Option<SocketAddr>) -> Self {
+        self.leader = leader;
+        self
+    }
 }
 
 impl fmt::Display for ApiError {
--- a/trefoillock-operator/src/service.rs
+++ b/trefoillock-operator/src/service.rs
@@ -1,7 +1,10 @@
 //! What a control replica does for operators.
 
+use std::time::Duration;
+
 use futures::future::BoxFuture;
-use trefoillock_core::{Edit, MoveId, Tables};
+use trefoillock_core::{Edit, MoveId, Rollout, ServiceName, Tables, VersionLabel};
+use trefoillock_store::{Document, ReplaceAnswer};
 
 use crate::{
     ApiError, BurnReport, CancelReport, CheckReport, EditReport, MembersReport, MovesReport,
@@ -29,6 +32,24 @@
     /// Replaces the tables.
     fn edit(&self, edit: Edit) -> Reply<'_, EditReport>;
 
+    /// Replaces the tables by those that were read from a numbered document.
+    fn replace(&self, document: Document, tables: Tables) -> Reply<'_, ReplaceAnswer>;
+
+    /// The document that the tables were read from, if they were not edited since.
+    fn document(&self) -> Reply<'_, Option<Document>>;
+
+    /// Orders the roll-out of a version of a service within a time. Returns whether it was
+    /// ordered, now or before; it is not while another version is being rolled out.
+    fn start_rollout(
+        &self,
+        service: ServiceName,
+        version: VersionLabel,
+        within: Duration,
+    ) -> Reply<'_, bool>;
+
+    /// The latest roll-out of a service.
+    fn rollout(&self, service: ServiceName) -> Reply<'_, Option<Rollout>>;
+
     /// The moves.
     fn moves(&self) -> Reply<'_, MovesReport>;
 
--- a/trefoillock-policy/src/retry_budget.rs
+++ b/trefoillock-policy/src/retry_budget.rs
@@ -16,6 +16,7 @@
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     milli: u32,
+    capacity: u32,
 }
 
 impl RetryBudget {
@@ -24,12 +25,23 @@
     pub const fn new() -> Self {
         Self {
             milli: INITIAL_MILLI,
+            capacity: CAPACITY_MILLI,
+        }
+    }
+
+    /// Creates a budget that holds `burst` retries at most, and a quarter of them at first.
+    #[must_use]
+    pub const fn with_burst(burst: u32) -> Self {
+        let capacity = burst.saturating_mul(COST_MILLI);
+        Self {
+            milli: capacity / 4,
+            capacity,
         }
     }
 
     /// Pays in for a call that was answered.
     pub fn deposit(&mut self) {
-        self.milli = (self.milli + DEPOSIT_MILLI).min(CAPACITY_MILLI);
+        self.milli = (self.milli + DEPOSIT_MILLI).min(self.capacity);
     }
 
     /// Takes the cost of one retry, if the budget holds it.
--- a/trefoillock-policy/src/retry_decision.rs
+++ b/trefoillock-policy/src/retry_decision.rs
@@ -6,8 +6,10 @@
 
 use crate::RetryBudget;
 
-/// The most attempts of one call, the first one included.
-const MAX_ATTEMPTS: u32 = 4;
+/// The number of choices up to which a refusal for overload is free.
+const FREE_CHOICES: u32 = 2;
+/// The largest number of backend servers that are chosen for a call, received or not.
+const MAX_CHOICES: u32 = 4;
 /// The time that must be left before the deadline for another attempt to make sense.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(2);
 
@@ -31,8 +33,12 @@
     pub outcome: Outcome,
     /// Why it was not answered.
     pub reason: RefusalReason,
-    /// The number of attempts so far, this one included.
+    /// The number of backend servers that were chosen so far.
     pub attempts: u32,
+    /// The number of backend servers that received the call or may have.
+    pub sends: u32,
+    /// The largest number of backend servers that may receive it.
+    pub max_sends: u32,
     /// The time by which the caller needs the answer.
     pub deadline: Timestamp,
 }
@@ -77,16 +83,26 @@
     if now + MIN_TIME_LEFT > attempt.deadline {
         return RetryDecision::GiveUp(GiveUp::Deadline);
     }
-    if attempt.attempts >= MAX_ATTEMPTS {
+    if attempt.sends >= attempt.max_sends || attempt.attempts >= MAX_CHOICES {
         return RetryDecision::GiveUp(GiveUp::Budget);
     }
-    if attempt.reason != RefusalReason::Draining && !budget.withdraw() {
+    if !is_free(attempt) && !budget.withdraw() {
         return RetryDecision::GiveUp(GiveUp::Budget);
     }
     RetryDecision::Retry
 }
 
 /// The reason that rules out another attempt whatever time and budget are left.
+/// Whether another choice burdens no backend server: none has received the call, and the nodes
+/// beside them are not asked over and over while they are overloaded.
+const fn is_free(attempt: &Attempt) -> bool {
+    let is_gone = matches!(
+        attempt.reason,
+        RefusalReason::Draining | RefusalReason::Unreachable
+    );
+    attempt.sends == 0 && (is_gone || attempt.attempts < FREE_CHOICES)
+}
+
 const fn final_reason(attempt: &Attempt) -> Option<GiveUp> {
     if matches!(attempt.outcome, Outcome::Answered) || !is_retryable(attempt.reason) {
         return Some(GiveUp::Final);
@@ -107,6 +123,7 @@
             | RefusalReason::Draining
             | RefusalReason::RefusedByServer
             | RefusalReason::ConnectionLost
+            | RefusalReason::SpoiledAnswer
     )
 }
 
--- a/trefoillock-policy/tests/balancer.rs
+++ b/trefoillock-policy/tests/balancer.rs
@@ -38,6 +38,7 @@
             slots: SLOTS,
             connections: 120,
             state,
+            instance: None,
         },
         peer_address: ([127, 0, 0, 1], 1).into(),
         data_centre: data_centre(centre),
--- a/trefoillock-policy/tests/retries.rs
+++ b/trefoillock-policy/tests/retries.rs
@@ -13,7 +13,7 @@
 
 const NOW: Timestamp = Timestamp::from_secs(1_000_000);
 
-const REASONS: [RefusalReason; 15] = [
+const REASONS: [RefusalReason; 16] = [
     RefusalReason::NoRoute,
     RefusalReason::NoServer,
     RefusalReason::Overloaded,
@@ -29,6 +29,7 @@
     RefusalReason::ConnectionLost,
     RefusalReason::BadRequest,
     RefusalReason::NotReady,
+    RefusalReason::SpoiledAnswer,
 ];
 
 fn attempt(class: RouteClass, sent: SentState, outcome: Outcome, reason: RefusalReason) -> Attempt {
@@ -38,6 +39,8 @@
         outcome,
         reason,
         attempts: 1,
+        sends: u32::from(sent == SentState::MayBeSent),
+        max_sends: 4,
         deadline: NOW + Duration::from_secs(1),
     }
 }
--- /dev/null
+++ b/trefoillock-process/src/call_settings.rs
@@ -0,0 +1,34 @@
+//! How calls are treated beyond what their routes say.
+
+use trefoillock_core::data;
+
+/// The retries that the budget of one pool on one node holds at most.
+const RETRY_BURST: u32 = 20;
+
+/// Settings of the calls of a node. Every part is on unless it is turned off.
+#[data(key)]
+#[serde(default, deny_unknown_fields)]
+pub struct CallSettings {
+    /// Whether a slow lookup is sent to a second backend server.
+    pub hedges: bool,
+    /// Whether an export that is cut is continued by range on another backend server.
+    pub resumes: bool,
+    /// Whether an `Idempotency-Key` is guarded against a second run.
+    pub idempotency_keys: bool,
+    /// Whether a posting goes on when its caller leaves.
+    pub detached_postings: bool,
+    /// The retries that the budget of one pool on one node holds at most.
+    pub retry_burst: u32,
+}
+
+impl Default for CallSettings {
+    fn default() -> Self {
+        Self {
+            hedges: true,
+            resumes: true,
+            idempotency_keys: true,
+            detached_postings: true,
+            retry_burst: RETRY_BURST,
+        }
+    }
+}
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -67,6 +67,8 @@
     StopRequested = 1002, "stop-requested", Info;
     /// The process has stopped; fields: cut, the number of calls that were cut.
     ProcessStopped = 1003, "process-stopped", Info;
+    /// The time for the stop is over; the calls that are still in flight are cut.
+    CallsCut = 1005, "calls-cut", Warn;
     /// A listening socket failed; fields: socket, error.
     ListenerFailed = 1004, "listener-failed", Error;
     /// The node took a newer configuration; fields: version, routes, pools.
@@ -83,6 +85,14 @@
     EditAccepted = 1401, "edit-accepted", Info;
     /// An edit was refused; fields: id, reason.
     EditRefused = 1402, "edit-refused", Warn;
+    /// A numbered document replaced the tables; fields: revision, version.
+    DocumentAccepted = 1403, "document-accepted", Info;
+    /// A numbered document was refused; fields: revision, current.
+    DocumentRefused = 1404, "document-refused", Warn;
+    /// A roll-out was ordered; fields: service, version, deadline.
+    RolloutOrdered = 1405, "rollout-ordered", Info;
+    /// A roll-out took a step; fields: rollout, service, step, state, share, evidence.
+    RolloutStepped = 1406, "rollout-stepped", Info;
     /// A move has started; fields: move, route, from, to, deadline.
     MoveStarted = 1501, "move-started", Info;
     /// A move took a step; fields: move, step, state, share, evidence.
--- a/trefoillock-process/src/lib.rs
+++ b/trefoillock-process/src/lib.rs
@@ -4,6 +4,7 @@
 //! The package stands above `trefoillock-core`; the daemon and the client use it, and so do the
 //! packages that log events.
 
+mod call_settings;
 mod clock;
 mod event;
 mod logging;
@@ -11,12 +12,15 @@
 mod secret;
 mod settings;
 mod signals;
+mod stop_settings;
 
+pub use call_settings::CallSettings;
 pub use clock::Clock;
 pub use event::{Event, LogLevel};
 pub use logging::{LogError, LogFormat, log_event, start_logging};
 pub use secret::read_secret;
 pub use settings::{
-    ControlSettings, LogSettings, NodeSettings, ReplicaAddress, Settings, SettingsError,
+    ControlSettings, Founding, LogSettings, NodeSettings, ReplicaAddress, Settings, SettingsError,
 };
 pub use signals::cancel_on_signal;
+pub use stop_settings::StopSettings;
--- a/trefoillock-process/src/raw_settings.rs
+++ b/trefoillock-process/src/raw_settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::LogFormat;
+use crate::{CallSettings, LogFormat, StopSettings};
 
 /// The settings file.
 #[derive(Debug, Deserialize)]
@@ -17,6 +17,10 @@
     pub(crate) admin: String,
     #[serde(default)]
     pub(crate) log: RawLog,
+    #[serde(default)]
+    pub(crate) calls: CallSettings,
+    #[serde(default)]
+    pub(crate) stop: StopSettings,
     pub(crate) node: Option<RawNode>,
     pub(crate) control: Option<RawControl>,
 }
--- a/trefoillock-process/src/settings.rs
+++ b/trefoillock-process/src/settings.rs
@@ -11,7 +11,7 @@
 use trefoillock_core::{DataCentre, NodeId, Region, ReplicaId};
 
 use crate::{
-    LogFormat,
+    CallSettings, LogFormat, StopSettings,
     raw_settings::{RawControl, RawLog, RawNode, RawReplica, RawSettings},
     read_secret,
 };
@@ -78,19 +78,38 @@
     pub address: SocketAddr,
 }
 
+/// How a control replica comes by its identity and by the other replicas.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Founding {
+    /// An operator makes the data folder and changes the set of replicas.
+    ByOperators {
+        /// The identity of the replica.
+        id: ReplicaId,
+        /// The first voters.
+        replicas: Vec<ReplicaAddress>,
+    },
+    /// The replicas found the log at a few known addresses and take each other in.
+    BySeeds {
+        /// The mesh addresses of replicas that may be known to others.
+        seeds: Vec<SocketAddr>,
+        /// Whether the whole system starts for the first time.
+        is_first_start: bool,
+        /// The number of voters to keep.
+        voters: usize,
+    },
+}
+
 /// The settings of the role of a control replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ControlSettings {
-    /// The identity of the replica.
-    pub id: ReplicaId,
+    /// How the replica comes by its identity and by the other replicas.
+    pub founding: Founding,
     /// The address for other replicas and for nodes.
     pub mesh: SocketAddr,
     /// The address for operators.
     pub operators: SocketAddr,
     /// The folder of the replica's files.
     pub data_folder: PathBuf,
-    /// The first voters.
-    pub replicas: Vec<ReplicaAddress>,
 }
 
 /// The checked settings of a daemon.
@@ -108,6 +127,10 @@
     pub admin: SocketAddr,
     /// How the log is written.
     pub log: LogSettings,
+    /// How calls are treated beyond what their routes say.
+    pub calls: CallSettings,
+    /// How the process stops.
+    pub stop: StopSettings,
     /// The role of a node, if the process has it.
     pub node: Option<NodeSettings>,
     /// The role of a control replica, if the process has it.
@@ -168,6 +191,8 @@
             token,
             admin: self.address("$.admin", &raw.admin)?,
             log: self.log(&raw.log)?,
+            calls: raw.calls,
+            stop: raw.stop,
             node: raw.node.map(|node| self.node(&node)).transpose()?,
             control: raw
                 .control
@@ -249,11 +274,13 @@
         let mesh = self.address("$.control.mesh", &raw.mesh)?;
         let id = ReplicaId::new(raw.id);
         Ok(ControlSettings {
-            id,
+            founding: Founding::ByOperators {
+                id,
+                replicas: self.replicas(&raw.replicas, id, mesh)?,
+            },
             mesh,
             operators: self.address("$.control.operators", &raw.operators)?,
             data_folder: self.path(&raw.data_folder),
-            replicas: self.replicas(&raw.replicas, id, mesh)?,
         })
     }
 
--- a/trefoillock-replica/src/driver.rs
+++ b/trefoillock-replica/src/driver.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -59,6 +59,7 @@
     pub(crate) reads: BTreeMap<ReadId, oneshot::Sender<Result<LogIndex, ReadError>>>,
     pub(crate) last_read: u64,
     pub(crate) addresses: BTreeMap<ReplicaId, SocketAddr>,
+    pub(crate) heard: Arc<Mutex<BTreeMap<ReplicaId, Instant>>>,
 }
 
 impl Driver {
@@ -131,6 +132,9 @@
             return;
         }
         self.addresses.insert(from.id, envelope.address);
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.insert(from.id, Instant::now());
+        drop(heard);
         self.replica
             .receive(self.clock.now(), from, envelope.message);
     }
--- a/trefoillock-replica/src/files/data_folder.rs
+++ b/trefoillock-replica/src/files/data_folder.rs
@@ -61,6 +61,45 @@
         Self::create(path, system, identity, &Snapshot::default())
     }
 
+    /// The replica that a data folder belongs to, or `None` if it was never in use.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the folder's marker is damaged or of another system.
+    pub fn owner(path: &Path, system: &str) -> Result<Option<ReplicaId>, FolderError> {
+        let Some(marker) = Marker::read(path)? else {
+            return Ok(None);
+        };
+        marker.check(path, system, marker.replica())?;
+        Ok(Some(marker.replica()))
+    }
+
+    /// Removes the files of a data folder, the marker first, so that the folder can be made
+    /// that of a new replica.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file cannot be removed.
+    pub fn discard(path: &Path) -> Result<(), FolderError> {
+        let remove = |file: &Path| match fs::remove_file(file) {
+            Err(cause) if cause.kind() != std::io::ErrorKind::NotFound => {
+                Err(durable::failed(Step::Write, file)(cause))
+            }
+            _ => Ok(()),
+        };
+        if !path.exists() {
+            return Ok(());
+        }
+        remove(&path.join(marker::FILE_NAME))?;
+        durable::sync_folder(path)?;
+        let entries = fs::read_dir(path).map_err(durable::failed(Step::Read, path))?;
+        for entry in entries {
+            let entry = entry.map_err(durable::failed(Step::Read, path))?;
+            remove(&entry.path())?;
+        }
+        durable::sync_folder(path)
+    }
+
     /// Opens the data folder of a replica and reads what it holds.
     ///
     /// # Errors
--- a/trefoillock-replica/src/files/marker.rs
+++ b/trefoillock-replica/src/files/marker.rs
@@ -49,6 +49,10 @@
         Ok(Some(marker))
     }
 
+    pub(super) const fn replica(&self) -> ReplicaId {
+        self.replica
+    }
+
     /// Checks that the folder belongs to a replica of a system. Returns the disk's identity.
     pub(super) fn check(
         &self,
--- a/trefoillock-replica/src/handle.rs
+++ b/trefoillock-replica/src/handle.rs
@@ -1,6 +1,11 @@
 //! The handle of a running replica.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Instant,
+};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -34,6 +39,7 @@
     status: watch::Receiver<ReplicaStatus>,
     lease: watch::Receiver<Option<Instant>>,
     traffic: Arc<Traffic>,
+    heard: Arc<Mutex<BTreeMap<ReplicaId, Instant>>>,
     stop: CancellationToken,
 }
 
@@ -95,6 +101,7 @@
         let disk = DiskThread::start(folder, synced)
             .map_err(|error| Error::new(Step::Write, platform, error))?;
         let traffic = Arc::new(Traffic::new());
+        let heard = Arc::new(Mutex::new(BTreeMap::new()));
         let driver = Driver {
             settings: settings.clone(),
             replica,
@@ -108,6 +115,7 @@
             reads: BTreeMap::new(),
             last_read: 0,
             addresses: BTreeMap::new(),
+            heard: heard.clone(),
         };
         let inputs = Inputs {
             commands: commands_rx,
@@ -122,6 +130,7 @@
             status: status_rx,
             lease: lease_rx,
             traffic,
+            heard,
             stop,
         })
     }
@@ -216,6 +225,13 @@
         self.traffic.clone()
     }
 
+    /// When each other replica was last heard of.
+    #[must_use]
+    pub fn heard(&self) -> BTreeMap<ReplicaId, Instant> {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.clone()
+    }
+
     /// Waits until the replica has stopped and its data folder is closed.
     pub async fn stopped(&self) {
         let mut status = self.status.clone();
--- a/trefoillock-replica/src/lib.rs
+++ b/trefoillock-replica/src/lib.rs
@@ -8,6 +8,7 @@
 //! The package stands above `trefoillock-core` and `trefoillock-rpc`; `trefoillock-control`
 //! replicates the tables with it. The design is described in `docs/REPLICATION.md`.
 
+mod admittance;
 mod disk_thread;
 mod driver;
 mod effect;
@@ -27,9 +28,11 @@
 mod state_machine;
 mod status;
 mod steady_clock;
+mod succession;
 mod timing;
 mod waiters;
 
+pub use admittance::Admittance;
 pub use effect::{Effect, ReadId, Ticket, Write};
 pub use entry::{Content, Entry, Position};
 pub use files::{DataFolder, FolderError, new_disk_id, record};
@@ -44,4 +47,5 @@
 pub use snapshot::{HardState, Snapshot};
 pub use state_machine::{RestoreError, StateMachine};
 pub use status::{ProposeError, ReadError, ReplicaStatus};
+pub use succession::{Candidate, next_change};
 pub use timing::{Limits, Timing};
--- a/trefoillock-replica/src/settings.rs
+++ b/trefoillock-replica/src/settings.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// The identity of the replica.
+    #[must_use]
+    pub const fn id(&self) -> ReplicaId {
+        self.id
+    }
+
     /// Sets the voters of a new system, with this replica. Only a bootstrap uses them.
     #[must_use]
     pub fn peers(mut self, peers: Vec<(ReplicaId, SocketAddr)>) -> Self {
--- a/trefoillock-roles/src/admin.rs
+++ b/trefoillock-roles/src/admin.rs
@@ -33,7 +33,7 @@
 
 impl Health {
     /// The first reason why the process is not ready, if any.
-    fn reason(&self) -> Option<&'static str> {
+    pub(crate) fn reason(&self) -> Option<&'static str> {
         if self.stopping.load(Ordering::Relaxed) {
             return Some("stopping\n");
         }
--- a/trefoillock-roles/src/control_role.rs
+++ b/trefoillock-roles/src/control_role.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex},
 };
 
@@ -10,13 +11,13 @@
 use trefoillock_control::{DistributionSource, SourceInputs, SourceRole, SourceState};
 use trefoillock_core::{Error, Peer, Step};
 use trefoillock_policy::BurnMeter;
-use trefoillock_process::ControlSettings;
-use trefoillock_replica::ReplicaHandle;
+use trefoillock_process::{ControlSettings, Founding};
+use trefoillock_replica::{Admittance, Candidate, DataFolder, Refusal, ReplicaHandle};
 use trefoillock_rpc::{RpcServer, Traffic};
 
 use crate::{
     cx::Cx,
-    founding::replica_settings,
+    founding::{SYSTEM, replica_settings},
     guard_driver::GuardDriver,
     leader_driver::{LeaderDriver, LeaderInputs},
     leadership::{self, Leadership},
@@ -27,6 +28,7 @@
 /// A running control replica.
 pub(crate) struct ControlRole {
     replica: ReplicaHandle,
+    settings: ControlSettings,
 }
 
 impl ControlRole {
@@ -35,16 +37,19 @@
         let mesh = cx.listen(settings.mesh).await?;
         let operators = cx.listen(settings.operators).await?;
         let store = SharedStore::new();
-        let replica = ReplicaHandle::start(
-            replica_settings(&cx.settings, settings),
-            Box::new(store.clone()),
-            cx.finish.clone(),
-        )?;
+        let log = replica_settings(&cx.settings, settings)?;
+        let own = Candidate {
+            id: log.id(),
+            address: settings.mesh,
+        };
+        let replica = ReplicaHandle::start(log, Box::new(store.clone()), cx.finish.clone())?;
+        let admittance = admittance(settings, &replica, own);
 
         let config = store.config().borrow().clone();
         let following = SourceState {
             role: SourceRole::Following { leader: None },
             config,
+            replicas: Vec::new(),
         };
         let (state_tx, state) = watch::channel(following);
         let (quarantined_tx, quarantined) = watch::channel(BTreeMap::new());
@@ -52,7 +57,14 @@
             DistributionSource::new(settings.mesh, SourceInputs { state, quarantined });
         let traffic = Arc::new(Traffic::new());
         let server = RpcServer::new(cx.token.clone(), traffic.clone());
-        let server = source.rpc_routes(replica.rpc_routes(server));
+        let mut server = source.rpc_routes(replica.rpc_routes(server));
+        if let Some((admittance, seeds)) = &admittance {
+            server = admittance.rpc_routes(server);
+            cx.tasks.spawn(admittance.clone().keep(cx.finish.clone()));
+            let asking = admittance.clone();
+            let asking = asking.ask(seeds.clone(), cx.token.clone(), cx.finish.clone());
+            cx.tasks.spawn(asking);
+        }
         cx.spawn_server("mesh", server.serve(mesh, cx.finish.clone()));
         cx.tasks.spawn(source.run(cx.finish.clone()));
 
@@ -68,18 +80,19 @@
             members: outputs.members.clone(),
             fleet: outputs.status.clone(),
             burn: burn.clone(),
+            admittance: admittance.map(|(admittance, _)| admittance),
         };
-        let interface = trefoillock_operator::serve(
-            operators,
-            Arc::new(api),
-            cx.token.clone(),
-            cx.finish.clone(),
-        );
+        let interface = cx
+            .edges
+            .serve_operators(operators, Arc::new(api), cx.finish.clone());
         cx.spawn_server("operators", interface);
 
-        let guards = GuardDriver::new(cx.clone(), replica.clone(), store.clone(), traffic.clone());
-        cx.tasks
-            .spawn(guards.run(leadership.clone(), outputs.guards.clone()));
+        if cx.settings.calls.idempotency_keys {
+            let (cx, replica) = (cx.clone(), replica.clone());
+            let guards = GuardDriver::new(cx.clone(), replica, store.clone(), traffic.clone());
+            let guards = guards.run(leadership.clone(), outputs.guards.clone());
+            cx.tasks.spawn(guards);
+        }
         let driver = LeaderDriver::new(cx.clone(), replica.clone(), store, burn, traffic);
         let inputs = LeaderInputs {
             leadership,
@@ -87,7 +100,10 @@
             quarantined: quarantined_tx,
         };
         cx.tasks.spawn(driver.run(inputs));
-        Ok(Self { replica })
+        Ok(Self {
+            replica,
+            settings: settings.clone(),
+        })
     }
 
     /// Waits until the replica fails, and tells why.
@@ -99,14 +115,48 @@
             if let Some(failure) = failure {
                 return Error::new(Step::Sync, peer(), failure.to_string());
             }
+            if let Some(refusal) = status.borrow().refused
+                && matches!(self.settings.founding, Founding::BySeeds { .. })
+            {
+                return self.discard(refusal);
+            }
             if status.changed().await.is_err() {
                 return Error::new(Step::Commit, peer(), "the replica has stopped");
             }
         }
     }
 
+    /// Gives up an identity that the other replicas no longer know. The next start takes a new
+    /// one.
+    fn discard(&self, refusal: Refusal) -> Error {
+        let peer = Peer::Platform("data folder".to_owned());
+        match DataFolder::discard(&self.settings.data_folder) {
+            Ok(()) => Error::new(
+                Step::Commit,
+                peer,
+                format!("the identity is over: {refusal:?}"),
+            ),
+            Err(error) => error.into(),
+        }
+    }
+
     /// Waits until the data folder is closed.
     pub(crate) async fn stopped(self) {
         self.replica.stopped().await;
     }
 }
+
+/// How replicas take each other in, with the addresses at which they find each other.
+fn admittance(
+    settings: &ControlSettings,
+    replica: &ReplicaHandle,
+    own: Candidate,
+) -> Option<(Admittance, Vec<SocketAddr>)> {
+    match &settings.founding {
+        Founding::ByOperators { .. } => None,
+        Founding::BySeeds { seeds, voters, .. } => {
+            let admittance = Admittance::new(replica.clone(), SYSTEM, own, *voters);
+            Some((admittance, seeds.clone()))
+        }
+    }
+}
--- a/trefoillock-roles/src/cx.rs
+++ b/trefoillock-roles/src/cx.rs
@@ -8,7 +8,7 @@
 use trefoillock_process::{Clock, Event, Settings};
 use trefoillock_rpc::Token;
 
-use crate::{admin::Health, events::EventLog, metrics::Metrics};
+use crate::{Edges, admin::Health, events::EventLog, metrics::Metrics};
 
 /// What the roles of one process share.
 #[derive(Clone)]
@@ -20,8 +20,11 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) health: Arc<Health>,
     pub(crate) tasks: TaskTracker,
+    pub(crate) edges: Arc<dyn Edges>,
     /// Cancelled when the graceful stop begins.
     pub(crate) stop: CancellationToken,
+    /// Cancelled when no more connections of callers and other nodes are taken.
+    pub(crate) close: CancellationToken,
     /// Cancelled when calls in flight have ended and the links to other processes may close.
     pub(crate) finish: CancellationToken,
 }
--- a/trefoillock-roles/src/daemon.rs
+++ b/trefoillock-roles/src/daemon.rs
@@ -1,6 +1,6 @@
 //! A running daemon.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use trefoillock_core::{Config, Error, Members};
@@ -9,6 +9,7 @@
 use trefoillock_rpc::Token;
 
 use crate::{
+    Edges, OwnEdges, Readiness,
     admin::{self, Health},
     control_role::ControlRole,
     cx::Cx,
@@ -33,12 +34,25 @@
     ///
     /// Returns an error if a socket or the data folder cannot be opened.
     pub async fn start(settings: Settings, stop: CancellationToken) -> Result<Self, Error> {
+        let token = token_of(&settings);
+        Self::start_with(settings, Arc::new(OwnEdges::new(token)), stop).await
+    }
+
+    /// Starts the roles that the settings name behind the given interfaces.
+    ///
+    /// It must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a socket or the data folder cannot be opened.
+    pub async fn start_with(
+        settings: Settings,
+        edges: Arc<dyn Edges>,
+        stop: CancellationToken,
+    ) -> Result<Self, Error> {
         let clock = Clock::start();
         let events = EventLog::new(clock, settings.log.format);
-        let token = settings
-            .token
-            .as_deref()
-            .map_or_else(Token::none, Token::new);
+        let token = token_of(&settings);
         let cx = Cx {
             settings: Arc::new(settings),
             clock,
@@ -47,7 +61,9 @@
             metrics: Arc::new(Metrics::new()),
             health: Arc::new(Health::default()),
             tasks: TaskTracker::new(),
+            edges,
             stop,
+            close: CancellationToken::new(),
             finish: CancellationToken::new(),
         };
         let admin = cx.listen(cx.settings.admin).await?;
@@ -66,6 +82,8 @@
             cx.finish.clone(),
         );
         cx.spawn_server("admin", served);
+        let readiness = Readiness(cx.health.clone());
+        cx.tasks.spawn(cx.edges.run(readiness, cx.finish.clone()));
         let (name, version) = (&cx.settings.name, env!("CARGO_PKG_VERSION"));
         events.write(
             Event::ProcessStarted,
@@ -100,9 +118,22 @@
         };
         self.cx.stop.cancel();
         self.cx.events.write(Event::StopRequested, &[]);
+        self.cx.health.stopping.store(true, Ordering::Relaxed);
+        let how = self.cx.settings.stop;
         if let Some(node) = self.node {
-            node.drained().await;
+            tokio::time::sleep(how.linger()).await;
+            self.cx.close.cancel();
+            match how.patience() {
+                Some(patience) => {
+                    let drained = tokio::time::timeout(patience, node.drained()).await;
+                    if drained.is_err() {
+                        self.cx.events.write(Event::CallsCut, &[]);
+                    }
+                }
+                None => node.drained().await,
+            }
         }
+        self.cx.close.cancel();
         self.cx.finish.cancel();
         self.cx.tasks.close();
         self.cx.tasks.wait().await;
@@ -140,3 +171,8 @@
         self.metrics.control_sent.get()
     }
 }
+
+fn token_of(settings: &Settings) -> Token {
+    let token = settings.token.as_deref();
+    token.map_or_else(Token::none, Token::new)
+}
--- a/trefoillock-roles/src/leader_driver.rs
+++ b/trefoillock-roles/src/leader_driver.rs
@@ -9,9 +9,10 @@
 use tokio::sync::watch;
 use trefoillock_control::{FleetStatus, SourceOutputs};
 use trefoillock_core::{
-    Config, CrashReport, Evidence, Fingerprint, Members, Move, MoveStep, Term, Timestamp,
+    Config, CrashReport, Evidence, Fingerprint, Members, Move, MoveStep, Rollout, RolloutStep,
+    ServiceName, Term, Timestamp,
 };
-use trefoillock_moves::{MoveController, NodeReport};
+use trefoillock_moves::{MoveController, NodeReport, RolloutController};
 use trefoillock_policy::{BurnMeter, CrashTally};
 use trefoillock_process::Event;
 use trefoillock_replica::ReplicaHandle;
@@ -21,7 +22,7 @@
 use crate::{cx::Cx, leadership::Leadership, move_log::MoveLog, shared_store::SharedStore};
 
 /// The time between two looks at the moves.
-const DECIDE_INTERVAL: Duration = Duration::from_millis(500);
+const DECIDE_INTERVAL: Duration = Duration::from_millis(250);
 /// The number of ended moves that the controller is told of.
 const ENDED_MOVES_TOLD: usize = 32;
 
@@ -40,6 +41,7 @@
     burn: Arc<Mutex<BurnMeter>>,
     traffic: Arc<Traffic>,
     controller: MoveController,
+    rollouts: RolloutController,
     crashes: CrashTally,
     log: MoveLog,
     term: Option<Term>,
@@ -61,6 +63,7 @@
             burn,
             traffic,
             controller: MoveController::new(),
+            rollouts: RolloutController::new(),
             crashes: CrashTally::new(),
             log,
             term: None,
@@ -99,6 +102,7 @@
     fn observe(&mut self, evidence: &Evidence) {
         let now = self.cx.clock.now();
         self.controller.observe(now, evidence);
+        self.rollouts.observe(evidence);
         let config = self.store.lock().config().clone();
         let mut burn = self.burn.lock().unwrap_or_else(PoisonError::into_inner);
         for (name, count) in &evidence.service_levels {
@@ -132,6 +136,9 @@
     async fn step(&mut self, members: &Members, fleet: &FleetStatus) {
         let (config, moves) = self.read();
         self.measure(&moves, fleet);
+        let rollouts = self.store.lock().rollouts().clone();
+        let now = self.cx.clock.now();
+        self.rollouts.follow(now, &rollouts);
         if self.term.is_none() || !fleet.is_leading {
             return;
         }
@@ -141,7 +148,15 @@
             nodes_reporting: fleet.nodes,
             nodes_expected: fleet.nodes.saturating_add(fleet.lost_count),
         };
-        let now = self.cx.clock.now();
+        let is_in_force = fleet.is_in_force();
+        let rollout_steps = self.rollouts.decide(now, &rollouts, members, is_in_force);
+        for step in rollout_steps {
+            self.report_step(&step, &rollouts);
+            if let Ok(command) = Command::RolloutStep(step).encode() {
+                // A step that is not taken is decided again.
+                let _ = self.replica.propose(command).await;
+            }
+        }
         let steps = self
             .controller
             .decide(now, &moves, config.tables(), members, report);
@@ -150,6 +165,21 @@
     }
 
     /// The configuration, the running moves and the moves that ended of late.
+    fn report_step(&self, step: &RolloutStep, rollouts: &BTreeMap<ServiceName, Rollout>) {
+        let service = rollouts.values().find(|rollout| rollout.id == step.id);
+        let service = service.map_or_else(String::new, |rollout| rollout.service.to_string());
+        let state = format!("{:?}", step.state).to_lowercase();
+        let fields: [(&str, &dyn std::fmt::Display); 6] = [
+            ("rollout", &step.id),
+            ("service", &service),
+            ("step", &step.step),
+            ("state", &state),
+            ("share", &step.share),
+            ("evidence", &step.evidence),
+        ];
+        self.cx.events.write(Event::RolloutStepped, &fields);
+    }
+
     fn read(&self) -> (Arc<Config>, Vec<Move>) {
         let store = self.store.lock();
         let mut moves: Vec<Move> = store.running_moves().cloned().collect();
--- a/trefoillock-roles/src/leadership.rs
+++ b/trefoillock-roles/src/leadership.rs
@@ -97,12 +97,17 @@
             None if status.role == RoleKind::Leader => SourceRole::Following { leader: None },
             None => SourceRole::Following { leader },
         };
+        let members = status.members.members().values();
+        let replicas: Vec<_> = members.map(|member| member.address).collect();
         state.send_if_modified(|held| {
-            let is_new = held.role != role || !Arc::ptr_eq(&held.config, config);
+            let is_new = held.role != role
+                || held.replicas != replicas
+                || !Arc::ptr_eq(&held.config, config);
             if is_new {
                 *held = SourceState {
                     role,
                     config: config.clone(),
+                    replicas,
                 };
             }
             is_new
--- a/trefoillock-roles/src/lib.rs
+++ b/trefoillock-roles/src/lib.rs
@@ -7,6 +7,7 @@
 mod control_role;
 mod cx;
 mod daemon;
+mod edges;
 mod events;
 mod founding;
 mod guard_driver;
@@ -16,7 +17,10 @@
 mod move_log;
 mod node_role;
 mod operator_service;
+mod readiness;
 mod shared_store;
 
 pub use daemon::{Daemon, Observer};
+pub use edges::{Edges, OwnEdges};
 pub use founding::{bootstrap, check_data_folder, join};
+pub use readiness::Readiness;
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -39,17 +39,21 @@
         let backend = cx.listen(settings.backend).await?;
         cx.health.node_waits.store(true, Ordering::Relaxed);
 
-        let interface = Arc::new(BackendInterface::new(cx.clock));
+        let edges = &cx.edges;
+        let interface =
+            BackendInterface::with(cx.clock, edges.announcement_lease(), edges.dialect());
+        let interface = Arc::new(interface);
         let incarnation = Incarnation::new(cx.clock.now().as_micros());
         let (name, data_centre) = (cx.settings.name.clone(), cx.settings.data_centre.clone());
-        let node = Arc::new(NodeContext::new(
+        let node = NodeContext::new(
             name.clone(),
             incarnation,
             data_centre.clone(),
             cx.token.clone(),
             cx.clock,
             interface.servers(),
-        ));
+        );
+        let node = Arc::new(node.with_calls(cx.settings.calls));
         let (evidence_tx, evidence) = mpsc::channel(EVIDENCE_QUEUE);
         let traffic = Arc::new(Traffic::new());
         let identity = NodeIdentity {
@@ -70,18 +74,14 @@
         let server = agent.rpc_routes(server);
 
         let serving = TaskTracker::new();
-        serving.spawn(trefoillock_caller::serve(
-            callers,
-            node.clone(),
-            cx.stop.clone(),
-        ));
+        serving.spawn(edges.serve_callers(callers, node.clone(), cx.close.clone()));
         serving.spawn(trefoillock_node::serve_peer(
             peers,
             node.clone(),
-            cx.stop.clone(),
+            cx.close.clone(),
         ));
         cx.spawn_server("mesh", server.serve(mesh, cx.finish.clone()));
-        let backend = trefoillock_backend::serve(backend, interface.clone(), cx.finish.clone());
+        let backend = edges.serve_backend(backend, interface.clone(), cx.finish.clone());
         cx.spawn_server("backend", backend);
         cx.tasks.spawn(agent.run(cx.finish.clone()));
         let view = node.view().clone();
--- a/trefoillock-roles/src/operator_service.rs
+++ b/trefoillock-roles/src/operator_service.rs
@@ -1,11 +1,17 @@
 //! What this control replica does for operators.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use futures::{FutureExt, future::BoxFuture};
 use tokio::sync::watch;
 use trefoillock_control::FleetStatus;
-use trefoillock_core::{Edit, EditAnswer, Members, Move, MoveId, RawTables, Tables, Timestamp};
+use trefoillock_core::{
+    Edit, EditAnswer, Members, Move, MoveId, RawTables, Rollout, ServiceName, Tables, Timestamp,
+    VersionLabel,
+};
 use trefoillock_operator::{
     ApiError, ApiErrorKind, BurnReport, CancelReport, CheckReport, EditReport, MemberRow,
     MembersReport, MovesReport, OperatorService, ReplicaChange, ReplicaRow, StatusReport,
@@ -13,8 +19,8 @@
 };
 use trefoillock_policy::BurnMeter;
 use trefoillock_process::Event;
-use trefoillock_replica::{ChangeError, MemberRole, ProposeError, ReplicaHandle};
-use trefoillock_store::{Command, CommandAnswer};
+use trefoillock_replica::{Admittance, ChangeError, MemberRole, ProposeError, ReplicaHandle};
+use trefoillock_store::{Command, CommandAnswer, Document, ReplaceAnswer, Replacement};
 
 use crate::{cx::Cx, shared_store::SharedStore};
 
@@ -26,6 +32,7 @@
     pub(crate) members: watch::Receiver<Arc<Members>>,
     pub(crate) fleet: watch::Receiver<FleetStatus>,
     pub(crate) burn: Arc<Mutex<BurnMeter>>,
+    pub(crate) admittance: Option<Admittance>,
 }
 
 type Reply<'a, T> = BoxFuture<'a, Result<T, ApiError>>;
@@ -35,8 +42,27 @@
     async fn current(&self) -> Result<(), ApiError> {
         match self.replica.read_barrier().await {
             Ok(_) => Ok(()),
-            Err(error) => Err(ApiError::new(ApiErrorKind::NotLeader, error.to_string())),
+            Err(error) => Err(self.not_leader(error.to_string())),
+        }
+    }
+
+    /// The answer of a replica that does not lead, with the leader that it knows.
+    fn not_leader(&self, message: String) -> ApiError {
+        let status = self.replica.status();
+        let status = status.borrow();
+        let leader = status.leader_address().filter(|(id, _)| *id != status.id);
+        let leader = leader.map(|(_, address)| address);
+        ApiError::new(ApiErrorKind::NotLeader, message).with_leader(leader)
+    }
+
+    /// Checks that enough replicas vote for an acknowledgement to outlive the losses that the
+    /// system is set up for.
+    fn complete(&self) -> Result<(), ApiError> {
+        let is_complete = self.admittance.as_ref().is_none_or(Admittance::is_complete);
+        if is_complete {
+            return Ok(());
         }
+        Err(self.not_leader("too few replicas vote yet".to_owned()))
     }
 
     async fn propose(&self, command: Command) -> Result<CommandAnswer, ApiError> {
@@ -48,7 +74,10 @@
             .replica
             .propose(command)
             .await
-            .map_err(|e| propose_error(&e))?;
+            .map_err(|error| match error {
+                ProposeError::NotLeader { .. } => self.not_leader(error.to_string()),
+                _ => propose_error(&error),
+            })?;
         CommandAnswer::decode(&answer).map_err(|error| internal(error.to_string()))
     }
 
@@ -104,6 +133,32 @@
         }
     }
 
+    fn report_order(&self, service: &ServiceName, version: &VersionLabel, deadline: Timestamp) {
+        let fields: [(&str, &dyn std::fmt::Display); 3] = [
+            ("service", service),
+            ("version", version),
+            ("deadline", &deadline),
+        ];
+        self.cx.events.write(Event::RolloutOrdered, &fields);
+    }
+
+    fn report_replacement(&self, revision: u64, answer: ReplaceAnswer) {
+        match answer {
+            ReplaceAnswer::Accepted(version) => {
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("revision", &revision), ("version", &version)];
+                self.cx.events.write(Event::DocumentAccepted, &fields);
+                self.cx.metrics.edits_accepted.inc();
+            }
+            ReplaceAnswer::Conflict { current } | ReplaceAnswer::NotNewer { current } => {
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("revision", &revision), ("current", &current)];
+                self.cx.events.write(Event::DocumentRefused, &fields);
+                self.cx.metrics.edits_refused.inc();
+            }
+        }
+    }
+
     async fn change(&self, change: ReplicaChange) -> Result<(), ChangeError> {
         match change {
             ReplicaChange::Add { id, address } => self.replica.add_learner(id, address).await,
@@ -192,6 +247,67 @@
         .boxed()
     }
 
+    fn replace(&self, document: Document, tables: Tables) -> Reply<'_, ReplaceAnswer> {
+        async move {
+            self.complete()?;
+            let (revision, at) = (document.revision, self.now());
+            let new = Replacement {
+                document,
+                tables,
+                at,
+            };
+            match self.propose(Command::Replace(Box::new(new))).await? {
+                CommandAnswer::Replace(answer) => {
+                    self.report_replacement(revision, answer);
+                    Ok(answer)
+                }
+                other => Err(unexpected(&other)),
+            }
+        }
+        .boxed()
+    }
+
+    fn document(&self) -> Reply<'_, Option<Document>> {
+        async {
+            self.current().await?;
+            Ok(self.store.lock().document().cloned())
+        }
+        .boxed()
+    }
+
+    fn start_rollout(
+        &self,
+        service: ServiceName,
+        version: VersionLabel,
+        within: Duration,
+    ) -> Reply<'_, bool> {
+        async move {
+            self.complete()?;
+            let at = self.now();
+            let deadline = at + within;
+            self.report_order(&service, &version, deadline);
+            let command = Command::StartRollout {
+                service,
+                version,
+                at,
+                deadline,
+            };
+            match self.propose(command).await? {
+                CommandAnswer::Rollout(ordered) => Ok(ordered),
+                other => Err(unexpected(&other)),
+            }
+        }
+        .boxed()
+    }
+
+    fn rollout(&self, service: ServiceName) -> Reply<'_, Option<Rollout>> {
+        async move {
+            self.current().await?;
+            Ok(self.store.lock().rollouts().get(&service).cloned())
+        }
+        .boxed()
+    }
+
     fn moves(&self) -> Reply<'_, MovesReport> {
         async {
             self.current().await?;
--- a/trefoillock-stand-ins/examples/control/sockets.rs
+++ b/trefoillock-stand-ins/examples/control/sockets.rs
@@ -70,6 +70,7 @@
     let (state, state_rx) = watch::channel(SourceState {
         role,
         config: config(1, nodes),
+        replicas: Vec::new(),
     });
     let (_quarantined, quarantined_rx) = watch::channel(BTreeMap::new());
     let inputs = SourceInputs {
--- a/trefoillock-stand-ins/src/backend_server/server.rs
+++ b/trefoillock-stand-ins/src/backend_server/server.rs
@@ -223,6 +223,7 @@
             } else {
                 MemberState::Up
             },
+            instance: None,
         }
     }
 
--- a/trefoillock-stand-ins/src/demo/fleet.rs
+++ b/trefoillock-stand-ins/src/demo/fleet.rs
@@ -235,13 +235,17 @@
     /// Kills the control replica that leads and returns its number and settings.
     pub(crate) async fn kill_leader(&mut self) -> Option<(usize, Settings)> {
         let status = self.client.status().await.ok()?;
-        let leader = status.replicas.iter().find(|replica| replica.leader)?.id;
+        let leader = status
+            .replicas
+            .iter()
+            .find(|replica| replica.leader)?
+            .address;
         let leads = |process: &Process| {
             process
                 .settings()
                 .control
                 .as_ref()
-                .is_some_and(|control| control.id == leader)
+                .is_some_and(|control| control.mesh == leader)
         };
         let at = self
             .controls
--- a/trefoillock-stand-ins/src/fleet/network.rs
+++ b/trefoillock-stand-ins/src/fleet/network.rs
@@ -151,6 +151,7 @@
         let state = SourceState {
             role,
             config: config.clone(),
+            replicas: Vec::new(),
         };
         let now = self.now_of(Process::Control(at));
         self.timed(Process::Control(at), |fleet| {
--- a/trefoillock-stand-ins/src/fleet/sample.rs
+++ b/trefoillock-stand-ins/src/fleet/sample.rs
@@ -50,7 +50,7 @@
     RawPool {
         name: format!("service-{service:03}-v{pool}"),
         service: format!("service-{service:03}"),
-        version: format!("v{pool}"),
+        version: Some(format!("v{pool}")),
         policy: RawPoolPolicy::default(),
     }
 }
@@ -69,6 +69,9 @@
         timeout_ms: if changed { 900 } else { 800 },
         target: None,
         move_deadline: None,
+        split: Vec::new(),
+        max_attempts: None,
+        priority: None,
     }
 }
 
@@ -116,6 +119,7 @@
         slots: 9,
         connections: 120,
         state: MemberState::Up,
+        instance: None,
     }
 }
 
--- a/trefoillock-stand-ins/src/moves_lab/members.rs
+++ b/trefoillock-stand-ins/src/moves_lab/members.rs
@@ -97,6 +97,7 @@
         slots,
         connections: slots * 10,
         state: MemberState::Up,
+        instance: None,
     };
     Member {
         id: ServerId {
--- a/trefoillock-stand-ins/src/naive_proxy.rs
+++ b/trefoillock-stand-ins/src/naive_proxy.rs
@@ -66,7 +66,7 @@
             let proxy = proxy.clone();
             async move { proxy.answer(req).await }
         };
-        let limits = ServerLimits::default();
+        let limits = ServerLimits::default;
         runtime.spawn(serve_http(
             listener,
             limits,
--- a/trefoillock-store/src/command.rs
+++ b/trefoillock-store/src/command.rs
@@ -1,7 +1,12 @@
 //! The commands of the replicated log and the answers to them.
 
 use displaydoc::Display;
-use trefoillock_core::{Edit, EditAnswer, GuardSet, GuardSlot, MoveId, MoveStep, Timestamp, data};
+use trefoillock_core::{
+    Edit, EditAnswer, GuardSet, GuardSlot, MoveId, MoveStep, RolloutStep, ServiceName, Timestamp,
+    VersionLabel, data,
+};
+
+use crate::{ReplaceAnswer, Replacement};
 
 /// A command that the replicated log holds.
 #[data]
@@ -19,6 +24,21 @@
     },
     /// Replaces the guards of some slots.
     Guards(Vec<(GuardSlot, GuardSet)>),
+    /// Replaces the tables by those of a numbered document.
+    Replace(Box<Replacement>),
+    /// Starts the roll-out of a version of a service.
+    StartRollout {
+        /// The service.
+        service: ServiceName,
+        /// The new version.
+        version: VersionLabel,
+        /// The time of the order.
+        at: Timestamp,
+        /// The time by which the roll-out shall have ended.
+        deadline: Timestamp,
+    },
+    /// Takes a step of a roll-out.
+    RolloutStep(RolloutStep),
 }
 
 impl Command {
@@ -69,6 +89,12 @@
     Cancel(CancelAnswer),
     /// The number of slots whose guards changed.
     Guards(usize),
+    /// What became of a replacement.
+    Replace(ReplaceAnswer),
+    /// Whether a roll-out was ordered, now or by an earlier send of the same order.
+    Rollout(bool),
+    /// Whether the step of a roll-out was taken.
+    RolloutStep(bool),
     /// The entry could not be decoded; nothing changed.
     Undecodable,
 }
--- a/trefoillock-store/src/edits.rs
+++ b/trefoillock-store/src/edits.rs
@@ -63,7 +63,7 @@
 fn check_redefined_pools(old: &Tables, new: &Tables) -> Result<(), EditRefusal> {
     let redefined = |pool: &Pool| {
         let before = old.pools().get(&pool.name);
-        before.is_some_and(|b| b.service != pool.service || b.version != pool.version)
+        before.is_some_and(|b| b.service != pool.service || b.versions != pool.versions)
     };
     for pool in new.pools().values().filter(|pool| redefined(pool)) {
         if let Some(route) = old.routes().values().find(|route| route.pool == pool.name) {
--- a/trefoillock-store/src/lib.rs
+++ b/trefoillock-store/src/lib.rs
@@ -22,7 +22,9 @@
 
 mod command;
 mod edits;
+mod replacement;
 mod table_store;
 
 pub use command::{CancelAnswer, Command, CommandAnswer, CommandError};
+pub use replacement::{Document, ReplaceAnswer, Replacement};
 pub use table_store::{RestoreError, TableStore};
--- a/trefoillock-store/src/table_store.rs
+++ b/trefoillock-store/src/table_store.rs
@@ -9,13 +9,13 @@
 use serde::{Deserialize, Serialize};
 use trefoillock_core::{
     Config, ConfigVersion, Edit, EditAnswer, EditId, EditRefusal, GuardSet, GuardSlot, GuardTable,
-    LogIndex, Move, MoveEnd, MoveId, MoveShare, MoveState, MoveStep, RouteName, Share, Tables,
-    Timestamp,
+    LogIndex, Move, MoveEnd, MoveId, MoveShare, MoveState, MoveStep, Rollout, RolloutShare,
+    RolloutState, RolloutStep, RouteName, ServiceName, Share, Tables, Timestamp, VersionLabel,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    CancelAnswer, Command, CommandAnswer,
+    CancelAnswer, Command, CommandAnswer, Document, ReplaceAnswer, Replacement,
     edits::{EditPlan, plan_edit},
 };
 
@@ -46,6 +46,22 @@
     ended: VecDeque<Move>,
     answers: VecDeque<StoredAnswer>,
     last_move: MoveId,
+    #[serde(default)]
+    document: Option<Document>,
+    /// The number of the last document that was accepted.
+    #[serde(default)]
+    revision: u64,
+    #[serde(default)]
+    documents: VecDeque<AcceptedDocument>,
+    #[serde(default)]
+    rollouts: BTreeMap<ServiceName, Rollout>,
+}
+
+/// A document that was accepted, for its resends.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct AcceptedDocument {
+    content: u128,
+    version: ConfigVersion,
 }
 
 /// The replicated tables, moves and guards.
@@ -77,6 +93,18 @@
         self.state.ended.iter()
     }
 
+    /// The document that the tables were read from, unless they were edited since.
+    #[must_use]
+    pub const fn document(&self) -> Option<&Document> {
+        self.state.document.as_ref()
+    }
+
+    /// The latest roll-out of each service.
+    #[must_use]
+    pub const fn rollouts(&self) -> &BTreeMap<ServiceName, Rollout> {
+        &self.state.rollouts
+    }
+
     /// Applies the command at a position of the log.
     ///
     /// The result depends on nothing but the state and the arguments.
@@ -87,6 +115,16 @@
             Command::MoveStep(step) => CommandAnswer::MoveStep(self.apply_step(version, step)),
             Command::CancelMove { id, at } => CommandAnswer::Cancel(self.cancel(version, id, at)),
             Command::Guards(sets) => CommandAnswer::Guards(self.apply_guards(version, sets)),
+            Command::Replace(new) => CommandAnswer::Replace(self.apply_replacement(version, *new)),
+            Command::StartRollout {
+                service,
+                version: to,
+                at,
+                deadline,
+            } => CommandAnswer::Rollout(self.start_rollout(version, service, to, (at, deadline))),
+            Command::RolloutStep(step) => {
+                CommandAnswer::RolloutStep(self.apply_rollout_step(version, step))
+            }
         }
     }
 
@@ -182,10 +220,110 @@
             };
             self.state.running.insert(route, start);
         }
+        self.state.document = None;
         self.replace_config(version, version, edit.tables.clone());
         EditAnswer::Accepted { version, moves }
     }
 
+    fn apply_replacement(&mut self, version: ConfigVersion, new: Replacement) -> ReplaceAnswer {
+        let content = new.document.content();
+        let mut known = self.state.documents.iter();
+        if let Some(accepted) = known.find(|accepted| accepted.content == content) {
+            return ReplaceAnswer::Accepted(accepted.version);
+        }
+        let current = self.state.revision;
+        if new.document.base != current {
+            return ReplaceAnswer::Conflict { current };
+        }
+        if new.document.revision <= current {
+            return ReplaceAnswer::NotNewer { current };
+        }
+        self.state
+            .documents
+            .push_back(AcceptedDocument { content, version });
+        if self.state.documents.len() > MAX_EDIT_ANSWERS {
+            self.state.documents.pop_front();
+        }
+        self.state.revision = new.document.revision;
+        self.state.document = Some(new.document);
+        self.end_moves_of_changed_routes(&new.tables, new.at);
+        self.replace_config(version, version, new.tables);
+        ReplaceAnswer::Accepted(version)
+    }
+
+    /// Takes back the moves whose route the new tables send elsewhere.
+    fn end_moves_of_changed_routes(&mut self, tables: &Tables, at: Timestamp) {
+        let stays = |m: &Move| {
+            let route = tables.routes().get(&m.route);
+            let has_pools = [&m.from, &m.to]
+                .iter()
+                .all(|pool| tables.pools().contains_key(*pool));
+            has_pools && route.is_some_and(|route| route.pool == m.to)
+        };
+        let ended: Vec<MoveId> = self
+            .running_moves()
+            .filter(|m| !stays(m))
+            .map(|m| m.id)
+            .collect();
+        for id in ended {
+            let end = MoveEnd::Cancelled;
+            self.end(
+                id,
+                MoveState::TakenBack { end },
+                at,
+                "the tables were replaced",
+            );
+        }
+    }
+
+    fn start_rollout(
+        &mut self,
+        version: ConfigVersion,
+        service: ServiceName,
+        to: VersionLabel,
+        (started, deadline): (Timestamp, Timestamp),
+    ) -> bool {
+        if let Some(held) = self.state.rollouts.get(&service) {
+            if held.version == to {
+                return true;
+            }
+            if !held.state.is_final() {
+                return false;
+            }
+        }
+        self.state.last_move = self.state.last_move.next();
+        let rollout = Rollout {
+            id: self.state.last_move,
+            service: service.clone(),
+            version: to,
+            started,
+            deadline,
+            state: RolloutState::Running,
+            share: Share::ZERO,
+            step: 0,
+            evidence: String::new(),
+        };
+        self.state.rollouts.insert(service, rollout);
+        self.refresh_shares(version);
+        true
+    }
+
+    fn apply_rollout_step(&mut self, version: ConfigVersion, step: RolloutStep) -> bool {
+        let mut rollouts = self.state.rollouts.values_mut();
+        let Some(rollout) = rollouts.find(|rollout| rollout.id == step.id) else {
+            return false;
+        };
+        if rollout.state.is_final() || step.step != rollout.step + 1 {
+            return false;
+        }
+        rollout.step = step.step;
+        rollout.state = step.state;
+        rollout.share = step.share;
+        rollout.evidence = step.evidence;
+        self.refresh_shares(version);
+        true
+    }
+
     fn apply_step(&mut self, version: ConfigVersion, step: MoveStep) -> bool {
         let Some(running) = self.state.running.values_mut().find(|m| m.id == step.id) else {
             return false;
@@ -326,8 +464,12 @@
             .values()
             .map(|m| (m.route.clone(), share_of(m)))
             .collect();
+        let rollouts = self.state.rollouts.iter();
+        let rollouts = rollouts
+            .map(|(service, rollout)| (service.clone(), RolloutShare::from(rollout)))
+            .collect();
         match Config::new(version, tables_version, tables, shares, guards) {
-            Ok(config) => self.state.config = Arc::new(config),
+            Ok(config) => self.state.config = Arc::new(config.with_rollouts(rollouts)),
             Err(error) => debug_assert!(false, "an accepted change broke a rule: {error}"),
         }
     }
--- a/trefoillock-store/tests/store.rs
+++ b/trefoillock-store/tests/store.rs
@@ -178,7 +178,7 @@
     let mut store = TableStore::new();
     apply(&mut store, 1, edit("e1", 0, tables("a", None)));
     let mut raw = RawTables::from(&tables("a", None));
-    raw.pools[0].version = "9".to_owned();
+    raw.pools[0].version = Some("9".to_owned());
     let redefined = Tables::try_from(raw).expect("valid");
     let answer = apply(&mut store, 2, edit("e2", 1, redefined));
     assert!(matches!(refusal(answer), EditRefusal::PoolRedefined(..)));
