--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use http::{HeaderValue, Request, Response};
+use http::{Request, Response};
 use tokio::{
     net::TcpStream,
     time::{Instant, sleep, timeout, timeout_at},
@@ -214,8 +214,24 @@
         let answer = timeout_at(limits.deadline, conn.sender.try_send_request(req)).await;
         let reason = match answer {
             Ok(Ok(resp)) => {
-                let resp = resp.map(|body| AnswerBody::new(body, conn, self.clone(), slot).boxed());
-                return self.check(expected.as_ref(), resp);
+                let (head, body) = resp.into_parts();
+                return match self.dialect.read(expected.as_ref(), &head) {
+                    AnswerKind::Answer => {
+                        let body = AnswerBody::new(body, conn, self.clone(), slot).boxed();
+                        Ok(Response::from_parts(head, body))
+                    }
+                    AnswerKind::DidNotRun => {
+                        // The rest of the refusal leaves the connection as any answer would.
+                        drop(AnswerBody::new(body, conn, self.clone(), slot));
+                        let proof = NotSent::refused_by_peer();
+                        let reason = RefusalReason::RefusedByServer;
+                        Err(CallFailure::did_not_run(reason, proof))
+                    }
+                    AnswerKind::Spoiled => {
+                        conn.close().await;
+                        Err(CallFailure::may_have_run(RefusalReason::SpoiledAnswer))
+                    }
+                };
             }
             Ok(Err(_)) => RefusalReason::ConnectionLost,
             Err(_) => RefusalReason::Deadline,
@@ -231,26 +247,6 @@
         Err(CallFailure::may_have_run(reason).with_crash(crash))
     }
 
-    /// Checks that an answer belongs to the call and that the call ran.
-    fn check(
-        &self,
-        expected: Option<&HeaderValue>,
-        resp: Response<Body>,
-    ) -> Result<Response<Body>, CallFailure> {
-        let (head, body) = resp.into_parts();
-        match self.dialect.read(expected, &head) {
-            AnswerKind::Answer => Ok(Response::from_parts(head, body)),
-            AnswerKind::DidNotRun => {
-                let proof = NotSent::refused_by_peer();
-                Err(CallFailure::did_not_run(
-                    RefusalReason::RefusedByServer,
-                    proof,
-                ))
-            }
-            AnswerKind::Spoiled => Err(CallFailure::may_have_run(RefusalReason::SpoiledAnswer)),
-        }
-    }
-
     /// Finds out whether the process still accepts connections after one was lost.
     ///
     /// A process that is dying may still accept one for a moment, so it is asked several times.
