--- a/trefoillock-backend/src/failure.rs
+++ b/trefoillock-backend/src/failure.rs
@@ -1,5 +1,7 @@
 //! How a call to a backend server fails.
 
+use std::time::Duration;
+
 use displaydoc::Display;
 use trefoillock_core::{Outcome, RefusalReason};
 
@@ -49,6 +51,7 @@
     reason: RefusalReason,
     execution: Execution,
     crash: Crash,
+    pause: Option<Duration>,
 }
 
 impl std::error::Error for CallFailure {}
@@ -61,6 +64,7 @@
             reason,
             execution: Execution::DidNotRun(proof),
             crash: Crash::No,
+            pause: None,
         }
     }
 
@@ -71,6 +75,7 @@
             reason,
             execution: Execution::Unknown,
             crash: Crash::No,
+            pause: None,
         }
     }
 
@@ -81,6 +86,19 @@
         self
     }
 
+    /// Adds the time after which a new call may find room.
+    #[must_use]
+    pub const fn with_pause(mut self, pause: Option<Duration>) -> Self {
+        self.pause = pause;
+        self
+    }
+
+    /// The time after which a new call may find room, if it is known.
+    #[must_use]
+    pub const fn pause(&self) -> Option<Duration> {
+        self.pause
+    }
+
     /// The reason.
     #[must_use]
     pub const fn reason(&self) -> RefusalReason {
--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -15,14 +15,14 @@
     time::{Instant, sleep, timeout, timeout_at},
 };
 use trefoillock_core::{Announcement, MemberState, RefusalReason, RouteClass};
-use trefoillock_policy::LoadHint;
+use trefoillock_policy::{Demand, LoadHint};
 use trefoillock_process::Clock;
 
 use crate::{
     AnswerKind, Body, CallFailure, Crash, Dialect, NotSent, OwnDialect,
     answer_body::AnswerBody,
     connection::Connection,
-    slots::{Slot, Slots},
+    slots::{Slot, SlotRefusal, Slots},
 };
 
 /// The longest time that opening a connection may take.
@@ -47,6 +47,10 @@
     pub deadline: Instant,
     /// The longest time that the call waits for a slot.
     pub queue: Duration,
+    /// The rank of the call; 0 is the highest.
+    pub rank: u8,
+    /// The time by which the answer is worth most, if the call has an objective of its own.
+    pub objective: Option<Instant>,
 }
 
 /// A backend server beside this node, in one incarnation.
@@ -144,19 +148,28 @@
         limits: CallLimits,
     ) -> Result<Response<Body>, CallFailure> {
         self.check_open().map_err(refuse)?;
-        let slot = self.slot(limits).await.map_err(refuse)?;
+        let slot = self
+            .slot(limits)
+            .await
+            .map_err(|refusal| refuse(refusal.reason).with_pause(refusal.pause))?;
         self.check_open().map_err(refuse)?;
         let conn = self.connection(limits).await.map_err(refuse)?;
         self.exchange(conn, req, limits, slot).await
     }
 
     /// Waits for a slot for a bounded time.
-    async fn slot(&self, limits: CallLimits) -> Result<Slot, RefusalReason> {
-        let left = limits.deadline.saturating_duration_since(Instant::now());
-        let deadline = self.clock.now() + left;
-        let acquiring = self.slots.acquire(limits.class, deadline, limits.queue);
+    async fn slot(&self, limits: CallLimits) -> Result<Slot, SlotRefusal> {
+        let (now, instant) = (self.clock.now(), Instant::now());
+        let at = |time: Instant| now + time.saturating_duration_since(instant);
+        let demand = Demand {
+            class: limits.class,
+            rank: limits.rank,
+            deadline: at(limits.deadline),
+            objective: limits.objective.map(at),
+        };
+        let acquiring = self.slots.acquire(demand, limits.queue);
         let acquired = timeout_at(limits.deadline, acquiring).await;
-        acquired.unwrap_or(Err(RefusalReason::Deadline))
+        acquired.unwrap_or_else(|_| Err(RefusalReason::Deadline.into()))
     }
 
     /// Takes an idle connection or opens a new one.
--- a/trefoillock-backend/src/slots.rs
+++ b/trefoillock-backend/src/slots.rs
@@ -9,8 +9,8 @@
 };
 
 use tokio::{sync::oneshot, time::sleep};
-use trefoillock_core::{Map, RefusalReason, RouteClass, Timestamp};
-use trefoillock_policy::{Admission, LoadHint, Offer, Ticket};
+use trefoillock_core::{Map, RefusalReason, Timestamp};
+use trefoillock_policy::{Admission, Demand, LoadHint, Offer, Ticket};
 use trefoillock_process::Clock;
 
 /// The number of times that a waiting call checks during its longest wait whether it is refused.
@@ -18,7 +18,24 @@
 /// The shortest time between two of these checks.
 const MIN_CHECK: Duration = Duration::from_millis(1);
 
-type Verdict = Result<(), RefusalReason>;
+type Verdict = Result<(), SlotRefusal>;
+
+/// Why a call got no slot.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SlotRefusal {
+    pub(crate) reason: RefusalReason,
+    /// The time after which there will be room, if it is known.
+    pub(crate) pause: Option<Duration>,
+}
+
+impl From<RefusalReason> for SlotRefusal {
+    fn from(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            pause: None,
+        }
+    }
+}
 
 #[derive(Debug)]
 struct State {
@@ -37,11 +54,20 @@
             }
         }
         for refused in self.admission.expire(now) {
+            let refusal = self.refusal(refused.reason);
             if let Some(tx) = self.waiting.remove(&refused.ticket) {
-                let _ = tx.send(Err(refused.reason));
+                let _ = tx.send(Err(refusal));
             }
         }
     }
+
+    fn refusal(&self, reason: RefusalReason) -> SlotRefusal {
+        let is_full = reason == RefusalReason::Overloaded;
+        SlotRefusal {
+            reason,
+            pause: is_full.then(|| self.admission.pause()),
+        }
+    }
 }
 
 /// The slots and connections of one backend server.
@@ -77,10 +103,9 @@
     /// Returns the reason if the call is refused.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
-        class: RouteClass,
-        deadline: Timestamp,
+        demand: Demand,
         queue: Duration,
-    ) -> Result<Slot, RefusalReason> {
+    ) -> Result<Slot, SlotRefusal> {
         let ticket = Ticket::new(self.next.fetch_add(1, Ordering::Relaxed));
         let mut rx = {
             let mut state = self.lock();
@@ -91,11 +116,11 @@
                     .set_limits(self.limit, self.connections, queue);
             }
             let now = self.clock.now();
-            let offer = state.admission.offer(now, ticket, class, deadline);
+            let offer = state.admission.offer(now, ticket, demand);
             state.tell(now, Vec::new());
             match offer {
                 Offer::Admitted => return Ok(self.slot(ticket)),
-                Offer::Refused(reason) => return Err(reason),
+                Offer::Refused(reason) => return Err(state.refusal(reason)),
                 Offer::Queued => {
                     let (tx, rx) = oneshot::channel();
                     state.waiting.insert(ticket, tx);
@@ -111,8 +136,8 @@
                 verdict = &mut rx => {
                     return match verdict {
                         Ok(Ok(())) => Ok(slot),
-                        Ok(Err(reason)) => Err(slot.refused(reason)),
-                        Err(_) => Err(slot.refused(RefusalReason::Overloaded)),
+                        Ok(Err(refusal)) => Err(slot.refused(refusal)),
+                        Err(_) => Err(slot.refused(RefusalReason::Overloaded.into())),
                     };
                 }
                 () = sleep(check) => {
@@ -188,9 +213,9 @@
     }
 
     /// Notes that the admission has forgotten the call.
-    fn refused(mut self, reason: RefusalReason) -> RefusalReason {
+    fn refused(mut self, refusal: SlotRefusal) -> SlotRefusal {
         self.ticket = None;
-        reason
+        refusal
     }
 }
 
--- a/trefoillock-backend/tests/destination.rs
+++ b/trefoillock-backend/tests/destination.rs
@@ -69,6 +69,8 @@
         class: RouteClass::Lookup,
         deadline: Instant::now() + HANG_GUARD,
         queue,
+        rank: 0,
+        objective: None,
     };
     let req = Request::get("/").header("host", "h").body(empty_body());
     let resp = server.call(req.expect("a request"), limits).await?;
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -67,6 +67,9 @@
             };
             match result {
                 Ok(resp) => {
+                    if resp.status().is_server_error() && req.can_send() && self.is_repeated() {
+                        continue;
+                    }
                     self.pool.deposit();
                     return Ok(resp);
                 }
@@ -145,6 +148,16 @@
         result
     }
 
+    /// Whether a call that a backend server answered with an error is sent to another one.
+    ///
+    /// Only a call that may run twice is, and only if there is another backend server.
+    fn is_repeated(&mut self) -> bool {
+        let failure = CallFailure::may_have_run(RefusalReason::ServerError);
+        self.cx.calls().repeats_errors
+            && self.pool.has_other(&self.tried)
+            && self.is_retried(&failure)
+    }
+
     fn is_retried(&mut self, failure: &CallFailure) -> bool {
         self.sends += u32::from(is_sent(failure));
         let now = self.cx.clock().now();
@@ -218,6 +231,7 @@
     )
     .request(call.route.class, call.fingerprint)
     .limits(call.deadline, queue)
+    .urgency(call.route.priority, call.objective())
 }
 
 /// Whether calls of a class are resumed after their answer was cut.
--- a/trefoillock-caller/src/entry.rs
+++ b/trefoillock-caller/src/entry.rs
@@ -104,6 +104,7 @@
             in_move,
             fingerprint: Fingerprint::new(0),
             arrived,
+            by_objective: self.cx.calls().by_objective,
         })
     }
 
--- a/trefoillock-caller/src/failures.rs
+++ b/trefoillock-caller/src/failures.rs
@@ -14,7 +14,9 @@
         (_, Execution::Unknown) => CallFailure::may_have_run(later.reason()),
         (Execution::Unknown, _) => CallFailure::may_have_run(earlier.reason()),
     };
-    joined.with_crash(crash)
+    joined
+        .with_crash(crash)
+        .with_pause(later.pause().or(earlier.pause()))
 }
 
 /// Neither attempt ran; `proof` is that of the later one, and the earlier one has its own.
--- a/trefoillock-caller/src/pool_state.rs
+++ b/trefoillock-caller/src/pool_state.rs
@@ -71,6 +71,13 @@
         self.lock().balancer.ended(now, id, result, hint);
     }
 
+    /// Whether there is a backend server that was not tried.
+    pub(crate) fn has_other(&self, tried: &[ServerId]) -> bool {
+        let state = self.lock();
+        let mut members = state.members.iter();
+        members.any(|member| !tried.contains(&member.id))
+    }
+
     /// Pays into the retry budget for a call that was answered.
     pub(crate) fn deposit(&self) {
         self.lock().budget.deposit();
--- a/trefoillock-control/src/source_machine.rs
+++ b/trefoillock-control/src/source_machine.rs
@@ -28,7 +28,9 @@
 const MAX_SEEN_CRASHES: usize = 4_096;
 /// The time after which the list of members is built again without a change of the fleet.
 const MEMBERS_REFRESH: Duration = Duration::from_secs(1);
-/// The share of the known backend servers, in percent, that a new leader waits for.
+/// The time after which a new leader waits for most of the known backend servers only.
+const HEARD_GRACE: Duration = Duration::from_millis(1_200);
+/// The share of the known backend servers, in percent, that a new leader waits for then.
 const HEARD_PERCENT: u64 = 90;
 
 /// Whether a control replica leads.
@@ -356,8 +358,12 @@
         }
         let leading = now.since(self.leading_since);
         let heard = self.table.servers_heard() as u64 * 100;
-        let is_heard = heard >= u64::from(self.servers_known) * HEARD_PERCENT;
-        leading >= LEADER_GRACE_LIMIT || (leading >= LEADER_GRACE && is_heard)
+        let known = u64::from(self.servers_known);
+        let is_whole = heard >= known * 100;
+        let is_most = heard >= known * HEARD_PERCENT;
+        leading >= LEADER_GRACE_LIMIT
+            || (leading >= LEADER_GRACE && is_whole)
+            || (leading >= HEARD_GRACE && is_most)
     }
 
     fn publish(&mut self, now: Timestamp) {
--- a/trefoillock-control/src/timing.rs
+++ b/trefoillock-control/src/timing.rs
@@ -15,15 +15,15 @@
 /// The time after which an update that was not confirmed is sent again.
 pub const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 /// The time between two batches of evidence of one sender.
-pub const EVIDENCE_INTERVAL: Duration = Duration::from_secs(1);
+pub const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
 /// The time over which changes of the list of members are gathered into one version.
 pub const MEMBERS_WINDOW: Duration = Duration::from_millis(100);
 /// The time for which a new leader publishes no list of members.
-pub const LEADER_GRACE: Duration = Duration::from_secs(3);
+pub const LEADER_GRACE: Duration = Duration::from_millis(300);
 /// The longest time for which a new leader waits for nodes that others know of.
-pub const LEADER_GRACE_LIMIT: Duration = Duration::from_secs(10);
+pub const LEADER_GRACE_LIMIT: Duration = Duration::from_secs(4);
 /// The time within which a parent must accept a child.
-pub const ATTACH_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const ATTACH_TIMEOUT: Duration = Duration::from_millis(600);
 /// The time without a confirmation of the leader after which a node looks for another parent.
 pub const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(4);
 /// The time between two searches for another parent while the present one still answers.
--- a/trefoillock-core/src/outcome.rs
+++ b/trefoillock-core/src/outcome.rs
@@ -81,6 +81,8 @@
     NotReady,
     /// The backend server sent bytes that cannot be the answer to the call.
     SpoiledAnswer,
+    /// The backend server answered with an error of its own.
+    ServerError,
 }
 
 impl RefusalReason {
@@ -104,6 +106,7 @@
             Self::BadRequest => "bad-request",
             Self::NotReady => "not-ready",
             Self::SpoiledAnswer => "spoiled-answer",
+            Self::ServerError => "server-error",
         }
     }
 
@@ -116,7 +119,7 @@
             Self::InProgress | Self::AlreadyRun | Self::KeyUnknown => 409,
             Self::KeyReused => 422,
             Self::Quarantined => 403,
-            Self::ConnectionLost | Self::SpoiledAnswer => 502,
+            Self::ConnectionLost | Self::SpoiledAnswer | Self::ServerError => 502,
             Self::Deadline => 504,
             Self::NoServer
             | Self::Overloaded
--- a/trefoillock-node/src/delivery.rs
+++ b/trefoillock-node/src/delivery.rs
@@ -4,9 +4,13 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue};
 use tokio::time::Instant;
-use trefoillock_core::{Fingerprint, RouteClass, ServerId, ServiceName, VersionLabel, headers};
+use trefoillock_core::{
+    DEFAULT_PRIORITY, Fingerprint, RouteClass, ServerId, ServiceName, VersionLabel, headers,
+};
 
-use crate::headers::{CLASS, FINGERPRINT, QUEUE_MS, SERVER, SERVICE, VERSION, header_text};
+use crate::headers::{
+    CLASS, FINGERPRINT, OBJECTIVE_MS, QUEUE_MS, RANK, SERVER, SERVICE, VERSION, header_text,
+};
 
 /// The destination of a call and its limits.
 #[derive(Debug, Clone)]
@@ -25,6 +29,10 @@
     pub deadline: Instant,
     /// The longest time that the call waits for a slot.
     pub queue: Duration,
+    /// The rank of the call; 0 is the highest.
+    pub rank: u8,
+    /// The time by which the answer is worth most, if the call has an objective of its own.
+    pub objective: Option<Instant>,
 }
 
 impl Delivery {
@@ -39,6 +47,8 @@
             fingerprint: Fingerprint::new(0),
             deadline: Instant::now(),
             queue: Duration::ZERO,
+            rank: DEFAULT_PRIORITY,
+            objective: None,
         }
     }
 
@@ -50,6 +60,14 @@
         self
     }
 
+    /// Sets the rank and the time by which the answer is worth most.
+    #[must_use]
+    pub const fn urgency(mut self, rank: u8, objective: Option<Instant>) -> Self {
+        self.rank = rank;
+        self.objective = objective;
+        self
+    }
+
     /// Sets the deadline and the longest time that the call waits for a slot.
     #[must_use]
     pub const fn limits(mut self, deadline: Instant, queue: Duration) -> Self {
@@ -68,6 +86,11 @@
         set(map, CLASS, self.class.as_str());
         set(map, FINGERPRINT, &self.fingerprint.get().to_string());
         set(map, QUEUE_MS, &self.queue.as_millis().to_string());
+        set(map, RANK, &self.rank.to_string());
+        if let Some(objective) = self.objective {
+            let left = objective.saturating_duration_since(Instant::now());
+            set(map, OBJECTIVE_MS, &left.as_millis().to_string());
+        }
     }
 
     /// Reads a delivery from the headers of a call between nodes.
@@ -85,6 +108,9 @@
             deadline: Instant::now()
                 .checked_add(Duration::from_millis(number(headers::DEADLINE_MS)?))?,
             queue: Duration::from_millis(number(QUEUE_MS)?),
+            rank: u8::try_from(number(RANK)?).ok()?,
+            objective: number(OBJECTIVE_MS)
+                .and_then(|millis| Instant::now().checked_add(Duration::from_millis(millis))),
         })
     }
 }
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -72,6 +72,8 @@
         class: delivery.class,
         deadline: delivery.deadline,
         queue: delivery.queue,
+        rank: delivery.rank,
+        objective: delivery.objective,
     };
     let report = CrashReport {
         fingerprint: delivery.fingerprint,
--- a/trefoillock-node/src/headers.rs
+++ b/trefoillock-node/src/headers.rs
@@ -16,6 +16,12 @@
 /// The longest time that a call waits for a slot, in milliseconds, between nodes.
 pub(crate) const QUEUE_MS: &str = "trefoillock-queue-ms";
 /// Set on a failure if the process of the backend server is gone, between nodes.
+/// The rank of the call.
+pub(crate) const RANK: &str = "trefoillock-rank";
+/// The time within which the answer is worth most, in milliseconds.
+pub(crate) const OBJECTIVE_MS: &str = "trefoillock-objective-ms";
+/// The time after which a refused call may find room, in milliseconds.
+pub(crate) const PAUSE_MS: &str = "trefoillock-pause-ms";
 pub(crate) const CRASHED: &str = "trefoillock-crashed";
 
 /// The load of the backend server, on answers between nodes.
@@ -35,7 +41,7 @@
 ];
 
 /// Headers that only the system itself may set.
-const INTERNAL: [&str; 14] = [
+const INTERNAL: [&str; 17] = [
     headers::OUTCOME,
     headers::REASON,
     headers::DEADLINE_MS,
@@ -48,6 +54,9 @@
     CLASS,
     FINGERPRINT,
     QUEUE_MS,
+    RANK,
+    OBJECTIVE_MS,
+    PAUSE_MS,
     CRASHED,
     LOAD,
 ];
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -37,7 +37,7 @@
 pub use headers::{strip_hop_by_hop, strip_internal};
 pub use http_server::{ServerLimits, serve_http};
 pub use recorder::{CallRecord, EvidenceRecorder, MoveCall, Seen};
-pub use refusal::{read_refusal, refusal_answer};
+pub use refusal::{read_pause, read_refusal, refusal_answer};
 pub use route_index::RouteIndex;
 pub use serve_peer::serve_peer;
 pub use service_counts::{RouteCounts, ServiceCounts};
--- a/trefoillock-node/src/refusal.rs
+++ b/trefoillock-node/src/refusal.rs
@@ -1,5 +1,7 @@
 //! Answers that tell why a call was not answered by a backend server.
 
+use std::time::Duration;
+
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use serde::{
     Deserialize,
@@ -8,7 +10,7 @@
 use trefoillock_backend::{Body, CallFailure, Crash, NotSent, text_body};
 use trefoillock_core::{Outcome, RefusalReason, headers};
 
-use crate::headers::{CRASHED, header_text};
+use crate::headers::{CRASHED, PAUSE_MS, header_text};
 
 /// The time after which a caller may try again, in seconds.
 const RETRY_AFTER_S: &str = "1";
@@ -32,6 +34,10 @@
     if may_try_later(reason, outcome) {
         map.insert(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
     }
+    if let Some(pause) = failure.pause() {
+        let millis = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+        map.insert(PAUSE_MS, HeaderValue::from(millis));
+    }
     if failure.crash() == Crash::Yes {
         map.insert(CRASHED, HeaderValue::from_static("1"));
     }
@@ -52,6 +58,13 @@
     passing && matches!(outcome, Outcome::DidNotRun) || matches!(reason, RefusalReason::InProgress)
 }
 
+/// Reads the time after which a refused call may find room, if the answer tells it.
+#[must_use]
+pub fn read_pause(map: &HeaderMap) -> Option<Duration> {
+    let millis = header_text(map, PAUSE_MS)?.parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
+
 /// Reads the failure that a destination node told in the headers of its answer.
 #[must_use]
 pub fn read_refusal(map: &HeaderMap) -> Option<CallFailure> {
@@ -71,7 +84,7 @@
     } else {
         CallFailure::may_have_run(reason)
     };
-    Some(failure.with_crash(crash))
+    Some(failure.with_crash(crash).with_pause(read_pause(map)))
 }
 
 fn parse_reason(word: &str) -> Option<RefusalReason> {
--- a/trefoillock-policy/src/admission.rs
+++ b/trefoillock-policy/src/admission.rs
@@ -1,13 +1,13 @@
 //! Admission of calls to the slots of one backend server.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use trefoillock_core::{Map, RefusalReason, RouteClass, Timestamp, data};
 
 use crate::{
-    LoadHint,
+    Demand, Lane, LoadHint,
     service_time::ServiceTime,
-    wait_queue::{WaitQueue, Waiting, index},
+    wait_queue::{WaitQueue, Waiting},
 };
 
 /// The most calls that wait for each slot.
@@ -18,13 +18,11 @@
 const EXPORT_SLOTS: (u32, u32) = (3, 4);
 /// The time for which an offered lookup or posting keeps exports within their part.
 const EXPORT_LIMIT_TIME: Duration = Duration::from_secs(5);
-/// The classes in the order in which they get a free slot.
-const PRIORITY: [RouteClass; 4] = [
-    RouteClass::Posting,
-    RouteClass::Export,
-    RouteClass::Lookup,
-    RouteClass::Background,
-];
+/// The shortest time that a call with an objective may wait: an answer that is a little late is
+/// better than a refusal.
+const MIN_PATIENCE: Duration = Duration::from_millis(25);
+/// The shortest time after which a refused call is told to come back.
+const MIN_PAUSE: Duration = Duration::from_millis(40);
 
 /// The number of a call, unique in its node.
 #[data(key)]
@@ -69,7 +67,7 @@
 /// A call that runs.
 #[derive(Debug, Clone, Copy)]
 struct Running {
-    class: RouteClass,
+    lane: Lane,
     since: Timestamp,
 }
 
@@ -85,6 +83,9 @@
 /// are about to miss their deadline. A call that would likely miss its deadline does not get a
 /// slot that others wait for.
 ///
+/// Calls that have an objective wait as long as they can still meet it, are refused at once when
+/// the calls before them leave no hope for that, and cause no overload in the sense above.
+///
 /// Every refusal is given before the call was forwarded, so the call has not run.
 #[derive(Debug)]
 pub struct Admission {
@@ -93,9 +94,11 @@
     queue_time: Duration,
     connections: u32,
     running: Map<Ticket, Running>,
-    running_of: [u32; 4],
+    running_of: BTreeMap<Lane, u32>,
     queue: WaitQueue,
-    service: [ServiceTime; 4],
+    service: BTreeMap<Lane, ServiceTime>,
+    /// The time for which any call holds a slot.
+    hold: ServiceTime,
     refused: Vec<Refused>,
     is_overloaded: bool,
     below_target_at: Timestamp,
@@ -115,9 +118,10 @@
             queue_time,
             connections: 0,
             running: Map::default(),
-            running_of: [0; 4],
+            running_of: BTreeMap::new(),
             queue: WaitQueue::default(),
-            service: [ServiceTime::default(); 4],
+            service: BTreeMap::new(),
+            hold: ServiceTime::default(),
             refused: Vec::new(),
             is_overloaded: false,
             below_target_at: Timestamp::EPOCH,
@@ -178,28 +182,23 @@
 
     /// Offers a call. Its ticket must be new.
     #[must_use]
-    pub fn offer(
-        &mut self,
-        now: Timestamp,
-        ticket: Ticket,
-        class: RouteClass,
-        deadline: Timestamp,
-    ) -> Offer {
+    pub fn offer(&mut self, now: Timestamp, ticket: Ticket, demand: Demand) -> Offer {
         if self.is_closed(now) {
             return Offer::Refused(RefusalReason::Draining);
         }
-        if matches!(class, RouteClass::Lookup | RouteClass::Posting) {
+        let (lane, deadline) = (demand.lane(), demand.deadline);
+        if matches!(demand.class, RouteClass::Lookup | RouteClass::Posting) {
             self.others_offered_at = Some(now);
         }
-        if now + self.sure_time(class) > deadline || now >= deadline {
+        if now + self.sure_time(lane) > deadline || now >= deadline {
             return Offer::Refused(RefusalReason::Deadline);
         }
         self.observe_delay(now);
-        if self.has_slot(now, class) && self.first_waiting(now).is_none() {
-            self.start(now, ticket, class);
+        if self.has_slot(now, demand.class) && self.first_waiting(now).is_none() {
+            self.start(now, ticket, lane);
             return Offer::Admitted;
         }
-        self.enqueue(now, ticket, class, deadline)
+        self.enqueue(now, ticket, demand)
     }
 
     /// Ends a running call and returns the waiting calls that may run now; each of them must be
@@ -207,7 +206,9 @@
     #[must_use]
     pub fn release(&mut self, now: Timestamp, ticket: Ticket) -> Vec<Ticket> {
         if let Some(ended) = self.end(ticket) {
-            self.service[index(ended.class)].record(now.since(ended.since));
+            let time = now.since(ended.since);
+            self.service.entry(ended.lane).or_default().record(time);
+            self.hold.record(time);
         }
         self.admit(now)
     }
@@ -239,10 +240,12 @@
             return Some(now);
         }
         let mut next = self.queue.next_expiry()?;
-        if self.is_overloaded
-            && let Some(oldest) = self.queue.oldest_of(RouteClass::Lookup)
-        {
-            next = next.min(oldest + self.target());
+        if self.is_overloaded {
+            for lane in self.lanes_of(RouteClass::Lookup) {
+                if let Some(oldest) = self.queue.oldest_of(lane) {
+                    next = next.min(oldest + self.target());
+                }
+            }
         }
         Some(self.lease_until.map_or(next, |lease| next.min(lease)))
     }
@@ -271,7 +274,7 @@
 
     /// Notes the delay of the queue, before a call enters or leaves it.
     fn observe_delay(&mut self, now: Timestamp) {
-        if self.queue.is_empty() {
+        if self.queue.is_empty() || self.queue.has_objectives() {
             self.is_overloaded = false;
             self.below_target_at = now;
         } else if self.queue.delay(now) <= self.target() {
@@ -290,29 +293,57 @@
         }
     }
 
-    /// A time that a call of a class surely needs.
-    ///
-    /// The average counts only while calls of the class run, so that a past slow phase cannot
-    /// refuse all calls for ever.
-    fn sure_time(&self, class: RouteClass) -> Duration {
-        if self.running_of[index(class)] == 0 {
+    /// The waiting lanes of a class.
+    fn lanes_of(&self, class: RouteClass) -> Vec<Lane> {
+        let lanes = self.queue.lanes();
+        lanes.filter(|lane| lane.class() == class).collect()
+    }
+
+    fn running_in(&self, lane: Lane) -> u32 {
+        self.running_of.get(&lane).copied().unwrap_or_default()
+    }
+
+    fn service_of(&self, lane: Lane) -> ServiceTime {
+        self.service.get(&lane).copied().unwrap_or_default()
+    }
+
+    /// The time that a call surely takes; unknown while no call of its kind runs, so that a slow
+    /// phase does not refuse calls for ever.
+    fn sure_time(&self, lane: Lane) -> Duration {
+        if self.running_in(lane) == 0 {
             return Duration::ZERO;
         }
-        self.service[index(class)].sure()
+        self.service_of(lane).sure()
+    }
+
+    fn likely_misses(&self, now: Timestamp, lane: Lane, deadline: Timestamp) -> bool {
+        let is_known = self.running_in(lane) > 0;
+        is_known && now + self.service_of(lane).likely() > deadline
     }
 
-    /// Whether a call would likely miss its deadline if it started now.
-    fn likely_misses(&self, now: Timestamp, class: RouteClass, deadline: Timestamp) -> bool {
-        let is_known = self.running_of[index(class)] > 0;
-        is_known && now + self.service[index(class)].likely() > deadline
+    /// The time after which a call that comes now would get a slot, if none came after it.
+    fn expected_wait(&self, lane: Lane) -> Duration {
+        let ahead = u32::try_from(self.queue.up_to(lane)).unwrap_or(u32::MAX);
+        self.hold.mean() / self.slots.max(1) * ahead.saturating_add(1)
+    }
+
+    /// The time after which a refused call finds the queue empty.
+    #[must_use]
+    pub fn pause(&self) -> Duration {
+        let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        (self.hold.mean() / self.slots.max(1) * queued.saturating_add(1)).max(MIN_PAUSE)
     }
 
-    /// Whether a slot is free for a class.
     fn has_slot(&self, now: Timestamp, class: RouteClass) -> bool {
-        let running: u32 = self.running_of.iter().sum();
-        running < self.slots
-            && (class != RouteClass::Export
-                || self.running_of[index(class)] < self.export_limit(now))
+        if self.running.len() >= self.slots as usize {
+            return false;
+        }
+        let exports = || {
+            let of_class = |(lane, _): &(&Lane, &u32)| lane.class() == class;
+            let running = self.running_of.iter().filter(of_class);
+            running.map(|(_, count)| *count).sum::<u32>()
+        };
+        class != RouteClass::Export || exports() < self.export_limit(now)
     }
 
     /// The number of exports that may run at once.
@@ -327,58 +358,63 @@
         }
     }
 
-    /// The class whose waiting call would get a free slot first.
-    fn first_waiting(&self, now: Timestamp) -> Option<RouteClass> {
-        PRIORITY
-            .into_iter()
-            .find(|class| self.queue.has(*class) && self.has_slot(now, *class))
+    /// The first lane in which a call waits that may start.
+    fn first_waiting(&self, now: Timestamp) -> Option<Lane> {
+        let mut lanes = self.queue.lanes();
+        lanes.find(|lane| self.has_slot(now, lane.class()))
     }
 
-    fn start(&mut self, now: Timestamp, ticket: Ticket, class: RouteClass) {
-        self.running.insert(ticket, Running { class, since: now });
-        self.running_of[index(class)] += 1;
+    fn start(&mut self, now: Timestamp, ticket: Ticket, lane: Lane) {
+        self.running.insert(ticket, Running { lane, since: now });
+        *self.running_of.entry(lane).or_default() += 1;
     }
 
     fn end(&mut self, ticket: Ticket) -> Option<Running> {
         let ended = self.running.remove(&ticket)?;
-        let count = &mut self.running_of[index(ended.class)];
-        *count = count.saturating_sub(1);
+        if let Some(count) = self.running_of.get_mut(&ended.lane) {
+            *count = count.saturating_sub(1);
+        }
         Some(ended)
     }
 
-    fn enqueue(
-        &mut self,
-        now: Timestamp,
-        ticket: Ticket,
-        class: RouteClass,
-        deadline: Timestamp,
-    ) -> Offer {
-        let patience = self.patience(class);
-        if patience.is_zero() || !self.make_room_for(class) {
+    fn enqueue(&mut self, now: Timestamp, ticket: Ticket, demand: Demand) -> Offer {
+        let lane = demand.lane();
+        let patience = match demand.objective {
+            Some(objective) => self.patience_for(now, lane, objective),
+            None => self.patience(demand.class),
+        };
+        let is_hopeless = demand.objective.is_some() && self.expected_wait(lane) > patience;
+        if patience.is_zero() || is_hopeless || !self.make_room_for(lane) {
             return Offer::Refused(RefusalReason::Overloaded);
         }
         let waiting = Waiting {
             ticket,
             since: now,
-            deadline,
-            until: deadline.min(now + patience),
+            deadline: demand.deadline,
+            until: demand.deadline.min(now + patience),
+            has_objective: demand.objective.is_some(),
         };
-        self.queue.push(class, waiting);
+        self.queue.push(lane, waiting);
         Offer::Queued
     }
 
+    /// How long a call may wait and still be answered by its objective.
+    fn patience_for(&self, now: Timestamp, lane: Lane, objective: Timestamp) -> Duration {
+        let left = objective.since(now);
+        let patience = left.saturating_sub(self.service_of(lane).mean());
+        patience.max(MIN_PATIENCE)
+    }
+
     /// Refuses the oldest waiting call of a lower class if the queue is full.
-    fn make_room_for(&mut self, class: RouteClass) -> bool {
+    fn make_room_for(&mut self, lane: Lane) -> bool {
         let slots = usize::try_from(self.slots).unwrap_or(usize::MAX);
         if self.queue.len() < slots.saturating_mul(MAX_QUEUED_PER_SLOT) {
             return true;
         }
-        let lower = PRIORITY.into_iter().rev();
-        for other in lower.take_while(|other| *other != class) {
-            if let Some(oldest) = self.queue.pop_oldest(other) {
-                self.refuse(oldest.ticket, RefusalReason::Overloaded);
-                return true;
-            }
+        let lowest = self.queue.lanes().last().filter(|lowest| *lowest > lane);
+        if let Some(oldest) = lowest.and_then(|lowest| self.queue.pop_oldest(lowest)) {
+            self.refuse(oldest.ticket, RefusalReason::Overloaded);
+            return true;
         }
         false
     }
@@ -389,15 +425,15 @@
         self.drop_late(now);
         let mut admitted = Vec::new();
         while !self.is_closed(now)
-            && let Some(class) = self.first_waiting(now)
-            && let Some(waiting) = self.take(class)
+            && let Some(lane) = self.first_waiting(now)
+            && let Some(waiting) = self.take(lane)
         {
             let is_contested = !self.queue.is_empty();
-            if is_contested && self.likely_misses(now, class, waiting.deadline) {
+            if is_contested && self.likely_misses(now, lane, waiting.deadline) {
                 self.refuse(waiting.ticket, RefusalReason::Deadline);
                 continue;
             }
-            self.start(now, waiting.ticket, class);
+            self.start(now, waiting.ticket, lane);
             admitted.push(waiting.ticket);
         }
         admitted
@@ -405,11 +441,11 @@
 
     /// Takes the next waiting call of a class: the newest lookup under overload, else the
     /// oldest call.
-    fn take(&mut self, class: RouteClass) -> Option<Waiting> {
-        if class == RouteClass::Lookup && self.is_overloaded {
-            self.queue.pop_newest(class)
+    fn take(&mut self, lane: Lane) -> Option<Waiting> {
+        if lane.class() == RouteClass::Lookup && self.is_overloaded {
+            self.queue.pop_newest(lane)
         } else {
-            self.queue.pop_oldest(class)
+            self.queue.pop_oldest(lane)
         }
     }
 
@@ -428,8 +464,10 @@
         }
         for class in [RouteClass::Lookup, RouteClass::Background] {
             let patience = self.patience(class);
-            while let Some(old) = self.queue.pop_older(now, class, patience) {
-                self.refuse(old.ticket, RefusalReason::Overloaded);
+            for lane in self.lanes_of(class) {
+                while let Some(old) = self.queue.pop_older(now, lane, patience) {
+                    self.refuse(old.ticket, RefusalReason::Overloaded);
+                }
             }
         }
     }
@@ -439,10 +477,10 @@
     }
 
     fn refuse_all(&mut self, reason: RefusalReason) {
-        for class in RouteClass::ALL {
-            while let Some(waiting) = self.queue.pop_oldest(class) {
-                self.refuse(waiting.ticket, reason);
-            }
+        while let Some(lane) = self.queue.first_lane()
+            && let Some(waiting) = self.queue.pop_oldest(lane)
+        {
+            self.refuse(waiting.ticket, reason);
         }
     }
 }
--- a/trefoillock-policy/src/lib.rs
+++ b/trefoillock-policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod balancer;
 mod burn;
 mod crash_tally;
+mod demand;
 pub mod guard;
 mod hedge;
 mod load_hint;
@@ -38,6 +39,7 @@
 pub use balancer::Balancer;
 pub use burn::{BURN_WINDOWS, BurnMeter, BurnReport, BurnRow, BurnWindow};
 pub use crash_tally::CrashTally;
+pub use demand::{Demand, Lane};
 pub use guard::{
     CLOCK_SKEW_MARGIN, Claim, ClaimAnswer, ClaimId, ClaimLoss, ClaimRequest, ClaimState,
     CopyAnswer, CopyRequest, DeadGuards, Finish, FinishRequest, GuardAck, GuardAcks, GuardKeeper,
--- a/trefoillock-policy/src/retry_decision.rs
+++ b/trefoillock-policy/src/retry_decision.rs
@@ -124,6 +124,7 @@
             | RefusalReason::RefusedByServer
             | RefusalReason::ConnectionLost
             | RefusalReason::SpoiledAnswer
+            | RefusalReason::ServerError
     )
 }
 
--- a/trefoillock-policy/src/service_time.rs
+++ b/trefoillock-policy/src/service_time.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// The mean time; zero while none is known.
+    pub(crate) fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_s)
+    }
+
     /// A time that nearly every call needs; zero if nothing is known.
     pub(crate) fn sure(&self) -> Duration {
         Duration::from_secs_f64(self.mean_s * SURE_PART)
--- a/trefoillock-policy/src/wait_queue.rs
+++ b/trefoillock-policy/src/wait_queue.rs
@@ -5,9 +5,9 @@
     time::Duration,
 };
 
-use trefoillock_core::{Map, RouteClass, Timestamp};
+use trefoillock_core::{Map, Timestamp};
 
-use crate::Ticket;
+use crate::{Lane, Ticket};
 
 /// A call that waits.
 #[derive(Debug, Clone, Copy)]
@@ -17,6 +17,7 @@
     pub(crate) deadline: Timestamp,
     /// The time at which the call is refused if it still waits.
     pub(crate) until: Timestamp,
+    pub(crate) has_objective: bool,
 }
 
 /// Waiting calls by class, in the order of their arrival.
@@ -25,9 +26,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct WaitQueue {
     next: u64,
-    classes: [BTreeMap<u64, Waiting>; 4],
-    places: Map<Ticket, (RouteClass, u64)>,
+    lanes: BTreeMap<Lane, BTreeMap<u64, Waiting>>,
+    places: Map<Ticket, (Lane, u64)>,
     expiry: BTreeSet<(Timestamp, Ticket)>,
+    with_objective: usize,
 }
 
 impl WaitQueue {
@@ -39,32 +41,43 @@
         self.places.is_empty()
     }
 
-    pub(crate) fn has(&self, class: RouteClass) -> bool {
-        !self.classes[index(class)].is_empty()
+    pub(crate) fn lanes(&self) -> impl Iterator<Item = Lane> {
+        self.lanes.keys().copied()
     }
 
-    pub(crate) fn push(&mut self, class: RouteClass, waiting: Waiting) {
+    /// The first lane in which a call waits.
+    pub(crate) fn first_lane(&self) -> Option<Lane> {
+        self.lanes.keys().next().copied()
+    }
+
+    pub(crate) fn push(&mut self, lane: Lane, waiting: Waiting) {
         let place = self.next;
         self.next += 1;
-        self.classes[index(class)].insert(place, waiting);
-        self.places.insert(waiting.ticket, (class, place));
+        self.lanes.entry(lane).or_default().insert(place, waiting);
+        self.places.insert(waiting.ticket, (lane, place));
         self.expiry.insert((waiting.until, waiting.ticket));
+        self.with_objective += usize::from(waiting.has_objective);
     }
 
     pub(crate) fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
-        let (class, place) = self.places.remove(&ticket)?;
-        let waiting = self.classes[index(class)].remove(&place)?;
+        let (lane, place) = self.places.remove(&ticket)?;
+        let lane_calls = self.lanes.get_mut(&lane)?;
+        let waiting = lane_calls.remove(&place)?;
+        if lane_calls.is_empty() {
+            self.lanes.remove(&lane);
+        }
         self.expiry.remove(&(waiting.until, ticket));
+        self.with_objective -= usize::from(waiting.has_objective);
         Some(waiting)
     }
 
-    pub(crate) fn pop_oldest(&mut self, class: RouteClass) -> Option<Waiting> {
-        let (_, waiting) = self.classes[index(class)].first_key_value()?;
+    pub(crate) fn pop_oldest(&mut self, lane: Lane) -> Option<Waiting> {
+        let (_, waiting) = self.lanes.get(&lane)?.first_key_value()?;
         self.remove(waiting.ticket)
     }
 
-    pub(crate) fn pop_newest(&mut self, class: RouteClass) -> Option<Waiting> {
-        let (_, waiting) = self.classes[index(class)].last_key_value()?;
+    pub(crate) fn pop_newest(&mut self, lane: Lane) -> Option<Waiting> {
+        let (_, waiting) = self.lanes.get(&lane)?.last_key_value()?;
         self.remove(waiting.ticket)
     }
 
@@ -81,14 +94,14 @@
     pub(crate) fn pop_older(
         &mut self,
         now: Timestamp,
-        class: RouteClass,
+        lane: Lane,
         age: Duration,
     ) -> Option<Waiting> {
-        let oldest = self.oldest_of(class)?;
+        let oldest = self.oldest_of(lane)?;
         if now.since(oldest) < age {
             return None;
         }
-        self.pop_oldest(class)
+        self.pop_oldest(lane)
     }
 
     /// The time at which the time to wait of a call is over.
@@ -97,28 +110,29 @@
     }
 
     /// The arrival of the oldest call of a class.
-    pub(crate) fn oldest_of(&self, class: RouteClass) -> Option<Timestamp> {
-        let oldest = self.classes[index(class)].values().next();
+    pub(crate) fn oldest_of(&self, lane: Lane) -> Option<Timestamp> {
+        let oldest = self.lanes.get(&lane)?.values().next();
         oldest.map(|waiting| waiting.since)
     }
 
     /// The time that the oldest call has waited.
     pub(crate) fn delay(&self, now: Timestamp) -> Duration {
-        let oldest = RouteClass::ALL
-            .into_iter()
-            .filter_map(|c| self.oldest_of(c));
+        let oldest = self.lanes().filter_map(|lane| self.oldest_of(lane));
         oldest
             .min()
             .map_or(Duration::ZERO, |since| now.since(since))
     }
-}
 
-/// The place of a class in arrays by class.
-pub(crate) const fn index(class: RouteClass) -> usize {
-    match class {
-        RouteClass::Lookup => 0,
-        RouteClass::Posting => 1,
-        RouteClass::Export => 2,
-        RouteClass::Background => 3,
+    /// Whether calls wait that have an objective of their own.
+    pub(crate) fn has_objectives(&self) -> bool {
+        self.with_objective > 0
+    }
+
+    /// The number of calls that wait in a lane or in one before it.
+    pub(crate) fn up_to(&self, lane: Lane) -> usize {
+        self.lanes
+            .range(..=lane)
+            .map(|(_, calls)| calls.len())
+            .sum()
     }
 }
--- a/trefoillock-policy/tests/admission.rs
+++ b/trefoillock-policy/tests/admission.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use trefoillock_core::{RefusalReason, RouteClass, Timestamp};
-use trefoillock_policy::{Admission, Offer, Ticket};
+use trefoillock_policy::{Admission, Demand, Offer, Ticket};
 
 const SLOTS: u32 = 9;
 const CONNECTIONS: u32 = 120;
@@ -115,7 +115,7 @@
             match op {
                 Op::Offer(class) => {
                     let ticket = number as u64;
-                    let offer = ours.offer(now, Ticket::new(ticket), class, deadline);
+                    let offer = ours.offer(now, Ticket::new(ticket), Demand::new(class, deadline));
                     prop_assert_eq!(offer, naive.offer(now, ticket, class));
                 }
                 Op::Release(at) if !naive.running.is_empty() => {
@@ -152,7 +152,7 @@
                 Op::Offer(class) => {
                     let ticket = Ticket::new(number as u64);
                     let deadline = now + Duration::from_millis(60 + number as u64 % 200);
-                    match ours.offer(now, ticket, class, deadline) {
+                    match ours.offer(now, ticket, Demand::new(class, deadline)) {
                         Offer::Admitted => admitted.push(ticket),
                         Offer::Queued => {
                             waiting.insert(ticket, now);
@@ -238,7 +238,9 @@
                     next += 1;
                     tallies.entry(class).or_default().offered += 1.0;
                     calls.insert(ticket, (class, now + self.deadline, time));
-                    if ours.offer(now, ticket, class, now + self.deadline) == Offer::Admitted {
+                    if ours.offer(now, ticket, Demand::new(class, now + self.deadline))
+                        == Offer::Admitted
+                    {
                         admitted.push(ticket);
                     }
                 }
@@ -368,12 +370,24 @@
 fn long_exports_leave_slots_to_other_calls() {
     let mut ours = admission();
     let deadline = START + Duration::from_hours(1);
-    let lookup = ours.offer(START, Ticket::new(0), RouteClass::Lookup, deadline);
+    let lookup = ours.offer(
+        START,
+        Ticket::new(0),
+        Demand::new(RouteClass::Lookup, deadline),
+    );
     assert_eq!(lookup, Offer::Admitted);
     for number in 1..20 {
-        let _ = ours.offer(START, Ticket::new(number), RouteClass::Export, deadline);
+        let _ = ours.offer(
+            START,
+            Ticket::new(number),
+            Demand::new(RouteClass::Export, deadline),
+        );
     }
-    let posting = ours.offer(START, Ticket::new(100), RouteClass::Posting, deadline);
+    let posting = ours.offer(
+        START,
+        Ticket::new(100),
+        Demand::new(RouteClass::Posting, deadline),
+    );
     assert_eq!(posting, Offer::Admitted);
 }
 
@@ -382,14 +396,24 @@
     let mut ours = admission();
     let deadline = START + Duration::from_secs(10);
     let offers: Vec<Offer> = (0..12)
-        .map(|n| ours.offer(START, Ticket::new(n), RouteClass::Posting, deadline))
+        .map(|n| {
+            ours.offer(
+                START,
+                Ticket::new(n),
+                Demand::new(RouteClass::Posting, deadline),
+            )
+        })
         .collect();
     assert_eq!(offers.iter().filter(|o| **o == Offer::Queued).count(), 3);
     ours.set_draining(true);
     let refused = ours.expire(START);
     assert_eq!(refused.len(), 3);
     assert!(refused.iter().all(|r| r.reason == RefusalReason::Draining));
-    let late = ours.offer(START, Ticket::new(99), RouteClass::Posting, deadline);
+    let late = ours.offer(
+        START,
+        Ticket::new(99),
+        Demand::new(RouteClass::Posting, deadline),
+    );
     assert_eq!(late, Offer::Refused(RefusalReason::Draining));
     for number in 0..9 {
         assert!(!ours.is_idle());
@@ -404,11 +428,21 @@
     let deadline = START + Duration::from_mins(1);
     let lease = START + Duration::from_secs(3);
     ours.renew_lease(lease);
-    let mut offer = |at, n| ours.offer(at, Ticket::new(n), RouteClass::Lookup, deadline);
+    let mut offer = |at, n| {
+        ours.offer(
+            at,
+            Ticket::new(n),
+            Demand::new(RouteClass::Lookup, deadline),
+        )
+    };
     assert_eq!(offer(START, 1), Offer::Admitted);
     assert_eq!(offer(lease, 2), Offer::Refused(RefusalReason::Draining));
     ours.renew_lease(lease + Duration::from_secs(3));
-    let renewed = ours.offer(lease, Ticket::new(3), RouteClass::Lookup, deadline);
+    let renewed = ours.offer(
+        lease,
+        Ticket::new(3),
+        Demand::new(RouteClass::Lookup, deadline),
+    );
     assert_eq!(renewed, Offer::Admitted);
 }
 
@@ -418,8 +452,16 @@
     let deadline = START + Duration::from_mins(1);
     let lease = START + Duration::from_secs(3);
     ours.renew_lease(lease);
-    let _ = ours.offer(START, Ticket::new(1), RouteClass::Posting, deadline);
-    let _ = ours.offer(START, Ticket::new(2), RouteClass::Posting, deadline);
+    let _ = ours.offer(
+        START,
+        Ticket::new(1),
+        Demand::new(RouteClass::Posting, deadline),
+    );
+    let _ = ours.offer(
+        START,
+        Ticket::new(2),
+        Demand::new(RouteClass::Posting, deadline),
+    );
     assert_eq!(ours.next_expiry(START), Some(lease));
     assert!(ours.release(lease, Ticket::new(1)).is_empty());
     assert_eq!(ours.expire(lease)[0].reason, RefusalReason::Draining);
@@ -438,9 +480,13 @@
 fn a_slow_phase_does_not_refuse_calls_for_ever() {
     let mut ours = admission();
     let slow = START + Duration::from_secs(10);
-    let _ = ours.offer(START, Ticket::new(1), RouteClass::Lookup, slow);
+    let _ = ours.offer(START, Ticket::new(1), Demand::new(RouteClass::Lookup, slow));
     let _ = ours.release(slow, Ticket::new(1));
     let deadline = slow + Duration::from_millis(800);
-    let offer = ours.offer(slow, Ticket::new(2), RouteClass::Lookup, deadline);
+    let offer = ours.offer(
+        slow,
+        Ticket::new(2),
+        Demand::new(RouteClass::Lookup, deadline),
+    );
     assert_eq!(offer, Offer::Admitted);
 }
--- a/trefoillock-policy/tests/retries.rs
+++ b/trefoillock-policy/tests/retries.rs
@@ -13,7 +13,7 @@
 
 const NOW: Timestamp = Timestamp::from_secs(1_000_000);
 
-const REASONS: [RefusalReason; 16] = [
+const REASONS: [RefusalReason; 17] = [
     RefusalReason::NoRoute,
     RefusalReason::NoServer,
     RefusalReason::Overloaded,
@@ -30,6 +30,7 @@
     RefusalReason::BadRequest,
     RefusalReason::NotReady,
     RefusalReason::SpoiledAnswer,
+    RefusalReason::ServerError,
 ];
 
 fn attempt(class: RouteClass, sent: SentState, outcome: Outcome, reason: RefusalReason) -> Attempt {
--- a/trefoillock-process/src/call_settings.rs
+++ b/trefoillock-process/src/call_settings.rs
@@ -5,7 +5,7 @@
 /// The retries that the budget of one pool on one node holds at most.
 const RETRY_BURST: u32 = 20;
 
-/// Settings of the calls of a node. Every part is on unless it is turned off.
+/// Settings of the calls of a node.
 #[data(key)]
 #[serde(default, deny_unknown_fields)]
 pub struct CallSettings {
@@ -17,6 +17,11 @@
     pub idempotency_keys: bool,
     /// Whether a posting goes on when its caller leaves.
     pub detached_postings: bool,
+    /// Whether a call that may run twice is sent to another backend server after an error of the
+    /// first one.
+    pub repeats_errors: bool,
+    /// Whether the latency objective of a route bounds the time that its calls wait for a slot.
+    pub by_objective: bool,
     /// The retries that the budget of one pool on one node holds at most.
     pub retry_burst: u32,
 }
@@ -28,6 +33,8 @@
             resumes: true,
             idempotency_keys: true,
             detached_postings: true,
+            repeats_errors: false,
+            by_objective: false,
             retry_burst: RETRY_BURST,
         }
     }
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -18,7 +18,7 @@
 use crate::{cx::Cx, metrics::CallLabels};
 
 /// The time between two reports of evidence.
-const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(250);
 /// The time between two reports of service-level counts.
 const BURN_INTERVAL: Duration = Duration::from_secs(10);
 /// The number of reports that wait for the link to the tree.
--- a/trefoillock-roles/src/operator_service.rs
+++ b/trefoillock-roles/src/operator_service.rs
@@ -9,8 +9,8 @@
 use tokio::sync::watch;
 use trefoillock_control::FleetStatus;
 use trefoillock_core::{
-    Edit, EditAnswer, Members, Move, MoveId, RawTables, Rollout, ServiceName, Tables, Timestamp,
-    VersionLabel,
+    ConfigVersion, Edit, EditAnswer, Members, Move, MoveId, RawTables, Rollout, ServiceName,
+    Tables, Timestamp, VersionLabel,
 };
 use trefoillock_operator::{
     ApiError, ApiErrorKind, BurnReport, CancelReport, CheckReport, EditReport, MemberRow,
@@ -35,6 +35,10 @@
     pub(crate) admittance: Option<Admittance>,
 }
 
+/// The longest time for which the acknowledgement of a document waits for nodes to serve it:
+/// operators expect an answer within a second.
+const SPREAD_TIMEOUT: Duration = Duration::from_millis(700);
+
 type Reply<'a, T> = BoxFuture<'a, Result<T, ApiError>>;
 
 impl OperatorApi {
@@ -133,6 +137,17 @@
         }
     }
 
+    /// Waits until all nodes serve a version, or for a bounded time.
+    async fn spread(&self, version: ConfigVersion) {
+        let mut fleet = self.fleet.clone();
+        let in_force = fleet.wait_for(|status| {
+            let is_known = status.is_leading && status.newest >= version;
+            is_known && status.versions.at_least(version) >= status.nodes
+        });
+        // Nodes that are out of reach get it when they are back.
+        let _ = tokio::time::timeout(SPREAD_TIMEOUT, in_force).await;
+    }
+
     fn report_order(&self, service: &ServiceName, version: &VersionLabel, deadline: Timestamp) {
         let fields: [(&str, &dyn std::fmt::Display); 3] = [
             ("service", service),
@@ -259,6 +274,9 @@
             match self.propose(Command::Replace(Box::new(new))).await? {
                 CommandAnswer::Replace(answer) => {
                     self.report_replacement(revision, answer);
+                    if let ReplaceAnswer::Accepted(version) = answer {
+                        self.spread(version).await;
+                    }
                     Ok(answer)
                 }
                 other => Err(unexpected(&other)),
