feat(policy): the earliest objective first within a rank

Change: calls with an objective are ordered by it within their rank, and wait while most calls of their kind would still meet it.

--- a/trefoillock-policy/src/admission.rs
+++ b/trefoillock-policy/src/admission.rs
@@ -67,7 +67,7 @@
 /// A call that runs.
 #[derive(Debug, Clone, Copy)]
 struct Running {
-    lane: Lane,
+    kind: Lane,
     since: Timestamp,
 }
 
@@ -186,16 +186,16 @@
         if self.is_closed(now) {
             return Offer::Refused(RefusalReason::Draining);
         }
-        let (lane, deadline) = (demand.lane(), demand.deadline);
+        let (kind, deadline) = (demand.kind(), demand.deadline);
         if matches!(demand.class, RouteClass::Lookup | RouteClass::Posting) {
             self.others_offered_at = Some(now);
         }
-        if now + self.sure_time(lane) > deadline || now >= deadline {
+        if now + self.sure_time(kind) > deadline || now >= deadline {
             return Offer::Refused(RefusalReason::Deadline);
         }
         self.observe_delay(now);
         if self.has_slot(now, demand.class) && self.first_waiting(now).is_none() {
-            self.start(now, ticket, lane);
+            self.start(now, ticket, kind);
             return Offer::Admitted;
         }
         self.enqueue(now, ticket, demand)
@@ -207,7 +207,7 @@
     pub fn release(&mut self, now: Timestamp, ticket: Ticket) -> Vec<Ticket> {
         if let Some(ended) = self.end(ticket) {
             let time = now.since(ended.since);
-            self.service.entry(ended.lane).or_default().record(time);
+            self.service.entry(ended.kind).or_default().record(time);
             self.hold.record(time);
         }
         self.admit(now)
@@ -299,31 +299,32 @@
         lanes.filter(|lane| lane.class() == class).collect()
     }
 
-    fn running_in(&self, lane: Lane) -> u32 {
-        self.running_of.get(&lane).copied().unwrap_or_default()
+    fn running_in(&self, kind: Lane) -> u32 {
+        self.running_of.get(&kind).copied().unwrap_or_default()
     }
 
-    fn service_of(&self, lane: Lane) -> ServiceTime {
-        self.service.get(&lane).copied().unwrap_or_default()
+    fn service_of(&self, kind: Lane) -> ServiceTime {
+        self.service.get(&kind).copied().unwrap_or_default()
     }
 
     /// The time that a call surely takes; unknown while no call of its kind runs, so that a slow
     /// phase does not refuse calls for ever.
-    fn sure_time(&self, lane: Lane) -> Duration {
-        if self.running_in(lane) == 0 {
+    fn sure_time(&self, kind: Lane) -> Duration {
+        if self.running_in(kind) == 0 {
             return Duration::ZERO;
         }
-        self.service_of(lane).sure()
+        self.service_of(kind).sure()
     }
 
-    fn likely_misses(&self, now: Timestamp, lane: Lane, deadline: Timestamp) -> bool {
-        let is_known = self.running_in(lane) > 0;
-        is_known && now + self.service_of(lane).likely() > deadline
+    fn likely_misses(&self, now: Timestamp, kind: Lane, deadline: Timestamp) -> bool {
+        let is_known = self.running_in(kind) > 0;
+        is_known && now + self.service_of(kind).likely() > deadline
     }
 
     /// The time after which a call that comes now would get a slot, if none came after it.
-    fn expected_wait(&self, lane: Lane) -> Duration {
-        let ahead = u32::try_from(self.queue.up_to(lane)).unwrap_or(u32::MAX);
+    fn expected_wait(&self, demand: &Demand) -> Duration {
+        let ahead = self.queue.before(demand.lane(), demand.objective);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         self.hold.mean() / self.slots.max(1) * ahead.saturating_add(1)
     }
 
@@ -364,14 +365,14 @@
         lanes.find(|lane| self.has_slot(now, lane.class()))
     }
 
-    fn start(&mut self, now: Timestamp, ticket: Ticket, lane: Lane) {
-        self.running.insert(ticket, Running { lane, since: now });
-        *self.running_of.entry(lane).or_default() += 1;
+    fn start(&mut self, now: Timestamp, ticket: Ticket, kind: Lane) {
+        self.running.insert(ticket, Running { kind, since: now });
+        *self.running_of.entry(kind).or_default() += 1;
     }
 
     fn end(&mut self, ticket: Ticket) -> Option<Running> {
         let ended = self.running.remove(&ticket)?;
-        if let Some(count) = self.running_of.get_mut(&ended.lane) {
+        if let Some(count) = self.running_of.get_mut(&ended.kind) {
             *count = count.saturating_sub(1);
         }
         Some(ended)
@@ -380,10 +381,10 @@
     fn enqueue(&mut self, now: Timestamp, ticket: Ticket, demand: Demand) -> Offer {
         let lane = demand.lane();
         let patience = match demand.objective {
-            Some(objective) => self.patience_for(now, lane, objective),
+            Some(objective) => self.patience_for(now, demand.kind(), objective),
             None => self.patience(demand.class),
         };
-        let is_hopeless = demand.objective.is_some() && self.expected_wait(lane) > patience;
+        let is_hopeless = demand.objective.is_some() && self.expected_wait(&demand) > patience;
         if patience.is_zero() || is_hopeless || !self.make_room_for(lane) {
             return Offer::Refused(RefusalReason::Overloaded);
         }
@@ -392,16 +393,17 @@
             since: now,
             deadline: demand.deadline,
             until: demand.deadline.min(now + patience),
-            has_objective: demand.objective.is_some(),
+            kind: demand.kind(),
+            objective: demand.objective,
         };
         self.queue.push(lane, waiting);
         Offer::Queued
     }
 
     /// How long a call may wait and still be answered by its objective.
-    fn patience_for(&self, now: Timestamp, lane: Lane, objective: Timestamp) -> Duration {
+    fn patience_for(&self, now: Timestamp, kind: Lane, objective: Timestamp) -> Duration {
         let left = objective.since(now);
-        let patience = left.saturating_sub(self.service_of(lane).mean());
+        let patience = left.saturating_sub(self.service_of(kind).usual());
         patience.max(MIN_PATIENCE)
     }
 
@@ -429,11 +431,11 @@
             && let Some(waiting) = self.take(lane)
         {
             let is_contested = !self.queue.is_empty();
-            if is_contested && self.likely_misses(now, lane, waiting.deadline) {
+            if is_contested && self.likely_misses(now, waiting.kind, waiting.deadline) {
                 self.refuse(waiting.ticket, RefusalReason::Deadline);
                 continue;
             }
-            self.start(now, waiting.ticket, lane);
+            self.start(now, waiting.ticket, waiting.kind);
             admitted.push(waiting.ticket);
         }
         admitted
--- a/trefoillock-policy/src/demand.rs
+++ b/trefoillock-policy/src/demand.rs
@@ -2,7 +2,9 @@
 
 use trefoillock_core::{DEFAULT_PRIORITY, RouteClass, Timestamp, data};
 
-/// The order in which calls get a free slot: by rank, then by class.
+/// The order in which calls get a free slot: by rank, then by class. Calls that have an
+/// objective are ordered by that within their rank, so that the short calls that a running call
+/// waits for come before new work.
 #[data]
 #[derive(Copy, PartialOrd, Ord, Hash)]
 pub struct Lane {
@@ -23,6 +25,14 @@
         Self { rank, order }
     }
 
+    /// The lane of calls that have an objective: among them the class does not matter.
+    const fn of_rank(rank: u8) -> Self {
+        Self {
+            rank,
+            order: Self::new(rank, RouteClass::Posting).order,
+        }
+    }
+
     /// The class of the calls.
     #[must_use]
     pub const fn class(self) -> RouteClass {
@@ -74,9 +84,18 @@
         self
     }
 
+    /// What calls have in common that take a similar time.
+    #[must_use]
+    pub const fn kind(&self) -> Lane {
+        Lane::new(self.rank, self.class)
+    }
+
     /// The lane in which the call waits.
     #[must_use]
     pub const fn lane(&self) -> Lane {
-        Lane::new(self.rank, self.class)
+        match self.objective {
+            Some(_) => Lane::of_rank(self.rank),
+            None => Lane::new(self.rank, self.class),
+        }
     }
 }
--- a/trefoillock-policy/src/service_time.rs
+++ b/trefoillock-policy/src/service_time.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// The time that most calls take; zero while none is known.
+    pub(crate) fn usual(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_s + self.deviation_s)
+    }
+
     /// The mean time; zero while none is known.
     pub(crate) fn mean(&self) -> Duration {
         Duration::from_secs_f64(self.mean_s)
--- a/trefoillock-policy/src/wait_queue.rs
+++ b/trefoillock-policy/src/wait_queue.rs
@@ -13,21 +13,26 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Waiting {
     pub(crate) ticket: Ticket,
+    pub(crate) kind: Lane,
     pub(crate) since: Timestamp,
     pub(crate) deadline: Timestamp,
     /// The time at which the call is refused if it still waits.
     pub(crate) until: Timestamp,
-    pub(crate) has_objective: bool,
+    /// The time by which the call should be answered, if it has an objective of its own.
+    pub(crate) objective: Option<Timestamp>,
 }
 
+/// The place of a call in its lane: by objective, then by arrival.
+type Place = (Option<Timestamp>, u64);
+
 /// Waiting calls by class, in the order of their arrival.
 ///
 /// Every operation takes time that grows with the logarithm of the number of calls.
 #[derive(Debug, Default)]
 pub(crate) struct WaitQueue {
     next: u64,
-    lanes: BTreeMap<Lane, BTreeMap<u64, Waiting>>,
-    places: Map<Ticket, (Lane, u64)>,
+    lanes: BTreeMap<Lane, BTreeMap<Place, Waiting>>,
+    places: Map<Ticket, (Lane, Place)>,
     expiry: BTreeSet<(Timestamp, Ticket)>,
     with_objective: usize,
 }
@@ -51,12 +56,12 @@
     }
 
     pub(crate) fn push(&mut self, lane: Lane, waiting: Waiting) {
-        let place = self.next;
+        let place = (waiting.objective, self.next);
         self.next += 1;
         self.lanes.entry(lane).or_default().insert(place, waiting);
         self.places.insert(waiting.ticket, (lane, place));
         self.expiry.insert((waiting.until, waiting.ticket));
-        self.with_objective += usize::from(waiting.has_objective);
+        self.with_objective += usize::from(waiting.objective.is_some());
     }
 
     pub(crate) fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
@@ -67,7 +72,7 @@
             self.lanes.remove(&lane);
         }
         self.expiry.remove(&(waiting.until, ticket));
-        self.with_objective -= usize::from(waiting.has_objective);
+        self.with_objective -= usize::from(waiting.objective.is_some());
         Some(waiting)
     }
 
@@ -128,11 +133,11 @@
         self.with_objective > 0
     }
 
-    /// The number of calls that wait in a lane or in one before it.
-    pub(crate) fn up_to(&self, lane: Lane) -> usize {
-        self.lanes
-            .range(..=lane)
-            .map(|(_, calls)| calls.len())
-            .sum()
+    /// The number of calls that get a slot before one of a lane and an objective.
+    pub(crate) fn before(&self, lane: Lane, objective: Option<Timestamp>) -> usize {
+        let lanes = self.lanes.range(..lane).map(|(_, calls)| calls.len());
+        let same = self.lanes.get(&lane);
+        let same = same.map_or(0, |calls| calls.range(..=(objective, u64::MAX)).count());
+        lanes.sum::<usize>() + same
     }
 }
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -67,10 +67,10 @@
     StopRequested = 1002, "stop-requested", Info;
     /// The process has stopped; fields: cut, the number of calls that were cut.
     ProcessStopped = 1003, "process-stopped", Info;
-    /// The time for the stop is over; the calls that are still in flight are cut.
-    CallsCut = 1005, "calls-cut", Warn;
     /// A listening socket failed; fields: socket, error.
     ListenerFailed = 1004, "listener-failed", Error;
+    /// The time for the stop is over; the calls that are still in flight are cut.
+    CallsCut = 1005, "calls-cut", Warn;
     /// The node took a newer configuration; fields: version, routes, pools.
     ConfigTaken = 1101, "config-taken", Info;
     /// A backend server announced itself or changed; fields: address, service, version, state.
