feat: exports stay in their zone longer, known servers are warm, a full disk is waited for

A replica ended with code 1 on a full disk. Change: servers of the first list are warm, exports spill from 1.3 of the slots on, writes to a full disk are taken back and tried again.

--- a/trefoillock-policy/src/admission.rs
+++ b/trefoillock-policy/src/admission.rs
@@ -194,7 +194,7 @@
             return Offer::Refused(RefusalReason::Deadline);
         }
         self.observe_delay(now);
-        if self.has_slot(now, demand.class) && self.first_waiting(now).is_none() {
+        if self.may_start(now, &demand) && self.first_waiting(now).is_none() {
             self.start(now, ticket, kind);
             return Offer::Admitted;
         }
@@ -348,6 +348,11 @@
     }
 
     /// The number of exports that may run at once.
+    /// Whether a call may start; exports that have an objective are bound by that alone.
+    fn may_start(&self, now: Timestamp, demand: &Demand) -> bool {
+        self.has_slot(now, demand.lane().class())
+    }
+
     fn export_limit(&self, now: Timestamp) -> u32 {
         let others = self
             .others_offered_at
--- a/trefoillock-policy/src/balancer.rs
+++ b/trefoillock-policy/src/balancer.rs
@@ -8,6 +8,8 @@
 
 /// The pressure of a local server from which servers of other data centres are considered.
 const SPILL_PRESSURE: f64 = 0.8;
+/// The pressure from which on exports go to servers of other data centres too.
+const EXPORT_SPILL_PRESSURE: f64 = 1.3;
 /// The factor on the odds of a server of another data centre.
 const REMOTE_ODDS: f64 = 0.4;
 
@@ -26,6 +28,7 @@
     policy: PoolPolicy,
     data_centre: DataCentre,
     servers: Vec<ServerLoad>,
+    is_synced: bool,
 }
 
 impl Balancer {
@@ -36,6 +39,7 @@
             policy,
             data_centre,
             servers: Vec::new(),
+            is_synced: false,
         }
     }
 
@@ -49,6 +53,8 @@
     /// What is known of a server is kept unless the server restarted.
     pub fn sync(&mut self, now: Timestamp, members: &[Arc<Member>]) {
         let slots = self.policy.slots;
+        // Servers that were there before this balancer are warm.
+        let is_first = !std::mem::replace(&mut self.is_synced, true);
         let mut known = std::mem::take(&mut self.servers);
         for member in members.iter().filter(|member| member.is_up()) {
             let slots = slots.min(member.announcement.slots);
@@ -61,6 +67,7 @@
                     server.update(member, slots);
                     server
                 }
+                None if is_first => ServerLoad::new(now - self.slow_start_span(), member, slots),
                 None => ServerLoad::new(now, member, slots),
             };
             self.servers.push(server);
@@ -105,7 +112,7 @@
         let usable = |server: &&ServerLoad| server.is_healthy() && !exclude.contains(&server.id);
         let is_local = |server: &ServerLoad| server.data_centre == self.data_centre;
         let local = self.best_of_two(now, &mut draws, |s| usable(&s) && is_local(s));
-        let spills = local.is_none_or(|local| self.spills(now, local));
+        let spills = local.is_none_or(|local| self.spills(now, class, local));
         let remote = if spills {
             self.best_of_two(now, &mut draws, |s| usable(&s) && !is_local(s))
         } else {
@@ -208,9 +215,14 @@
     }
 
     /// Whether servers of other data centres are to be considered beside a local one.
-    fn spills(&self, now: Timestamp, local: &ServerLoad) -> bool {
+    fn spills(&self, now: Timestamp, class: RouteClass, local: &ServerLoad) -> bool {
         let span = self.slow_start_span();
-        local.slow_start(now, span) < 1.0 || local.pressure(now, span) >= SPILL_PRESSURE
+        let pressure = local.pressure(now, span);
+        match class {
+            // The bytes of an export cost more on the way than a short wait does.
+            RouteClass::Export => pressure >= EXPORT_SPILL_PRESSURE,
+            _ => local.slow_start(now, span) < 1.0 || pressure >= SPILL_PRESSURE,
+        }
     }
 
     fn odds(&self, now: Timestamp, server: &ServerLoad) -> f64 {
--- a/trefoillock-replica/src/files/data_folder.rs
+++ b/trefoillock-replica/src/files/data_folder.rs
@@ -3,6 +3,8 @@
 use std::{
     fs::{self, File, TryLockError},
     path::{Path, PathBuf},
+    thread,
+    time::Duration,
 };
 
 use trefoillock_core::{ReplicaId, Step};
@@ -14,7 +16,8 @@
     state_file,
 };
 use crate::{
-    DiskId, FolderError, HardState, Membership, Position, Recovered, Sender, Snapshot, Write,
+    DiskId, FolderError, HardState, Membership, Position, Recovered, Sender, Snapshot, Storage,
+    Write, write_patiently,
 };
 
 /// The name of the file with the term and the vote.
@@ -24,6 +27,9 @@
 /// The name of the file that is locked while a process uses the folder.
 const LOCK_FILE: &str = "lock";
 
+/// The time between two tries to write to a disk without room.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+
 /// The open data folder of a replica.
 #[derive(Debug)]
 pub struct DataFolder {
@@ -153,30 +159,14 @@
             return Err(FolderError::Poisoned);
         }
         self.poisoned = true;
-        for write in writes {
-            self.write_one(write)?;
-        }
-        self.log.sync()?;
+        write_patiently(self, writes, || {
+            thread::sleep(FULL_PAUSE);
+            true
+        })?;
         self.poisoned = false;
         Ok(())
     }
 
-    fn write_one(&mut self, write: &Write) -> Result<(), FolderError> {
-        match write {
-            Write::HardState(state) => state_file::write(&self.path.join(HARD_STATE_FILE), state),
-            Write::Entries(entries) => self.log.append(entries),
-            Write::Snapshot {
-                snapshot,
-                base,
-                entries,
-            } => {
-                state_file::write(&self.path.join(SNAPSHOT_FILE), snapshot.as_ref())?;
-                self.log = LogFile::create(&self.path, self.log.disk(), *base, entries)?;
-                Ok(())
-            }
-        }
-    }
-
     fn create(
         path: &Path,
         system: &str,
@@ -203,6 +193,32 @@
     }
 }
 
+impl Storage for DataFolder {
+    fn write_one(&mut self, write: &Write) -> Result<(), FolderError> {
+        match write {
+            Write::HardState(state) => state_file::write(&self.path.join(HARD_STATE_FILE), state),
+            Write::Entries(entries) => self.log.append(entries),
+            Write::Snapshot {
+                snapshot,
+                base,
+                entries,
+            } => {
+                state_file::write(&self.path.join(SNAPSHOT_FILE), snapshot.as_ref())?;
+                self.log = LogFile::create(&self.path, self.log.disk(), *base, entries)?;
+                Ok(())
+            }
+        }
+    }
+
+    fn undo_partial(&mut self) -> Result<(), FolderError> {
+        self.log.undo_partial()
+    }
+
+    fn sync(&mut self) -> Result<(), FolderError> {
+        self.log.sync()
+    }
+}
+
 /// Takes the folder's lock.
 fn lock(path: &Path) -> Result<File, FolderError> {
     let path_of_lock = path.join(LOCK_FILE);
--- a/trefoillock-replica/src/files/error.rs
+++ b/trefoillock-replica/src/files/error.rs
@@ -57,6 +57,21 @@
 impl std::error::Error for FolderError {}
 
 impl FolderError {
+    /// Whether a write was refused because the disk has no room, so that nothing is lost if it
+    /// is taken back and tried again.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        let Self::Io { step, cause, .. } = self else {
+            return false;
+        };
+        let is_write = matches!(step, Step::Write);
+        is_write
+            && matches!(
+                cause.kind(),
+                io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+            )
+    }
+
     /// The step at which the error arose.
     #[must_use]
     pub const fn step(&self) -> Step {
--- a/trefoillock-replica/src/files/log_file.rs
+++ b/trefoillock-replica/src/files/log_file.rs
@@ -92,6 +92,16 @@
         Ok(())
     }
 
+    /// Takes back what a failed append may have left behind the last whole one.
+    pub(super) fn undo_partial(&mut self) -> Result<(), FolderError> {
+        let length = self.length;
+        self.file
+            .set_len(length)
+            .and_then(|()| self.file.seek(SeekFrom::Start(length)))
+            .map(drop)
+            .map_err(durable::failed(Step::Write, &self.path))
+    }
+
     /// Makes all appended entries last.
     pub(super) fn sync(&mut self) -> Result<(), FolderError> {
         if self.synced < self.length {
--- a/trefoillock-roles/src/daemon.rs
+++ b/trefoillock-roles/src/daemon.rs
@@ -138,7 +138,11 @@
         self.cx.tasks.close();
         self.cx.tasks.wait().await;
         if let Some(control) = self.control {
-            control.stopped().await;
+            match how.patience() {
+                // A disk that hangs keeps no process; what it has not synced was not promised.
+                Some(patience) => drop(tokio::time::timeout(patience, control.stopped()).await),
+                None => control.stopped().await,
+            }
         }
         self.cx.events.write(Event::ProcessStopped, &[]);
         failed.map_or(Ok(()), Err)
