feat(replica): shorter elections by default

Elections take 0.5 to 1.0 s and the lease 0.3 s, as in the tests' timing. Tried and reverted: four pre-votes in the time of an election; the exploration test's state space grew until the process was killed. The replica's tests pass with the new default.

--- a/trefoillock-replica/src/timing.rs
+++ b/trefoillock-replica/src/timing.rs
@@ -24,9 +24,9 @@
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(100),
-            election_min: Duration::from_millis(700),
-            election_max: Duration::from_millis(1_400),
-            lease: Duration::from_millis(500),
+            election_min: Duration::from_millis(500),
+            election_max: Duration::from_millis(1_000),
+            lease: Duration::from_millis(300),
             max_clock_step: Duration::from_millis(200),
         }
     }
