--- a/trefoillock-moves/src/rollout_controller.rs
+++ b/trefoillock-moves/src/rollout_controller.rs
@@ -11,6 +11,8 @@
 const CANARY_SHARE: f64 = 0.03;
 /// The number of calls that the new version gets at least until the deadline, if there are any.
 const CANARY_CALLS: f64 = 25.0;
+/// The time for which calls are counted before the canary, since its share depends on their rate.
+const MEASURE_TIME: Duration = Duration::from_millis(1_500);
 /// The largest share while evidence is gathered.
 const MAX_CANARY_SHARE: f64 = 0.25;
 /// The share between the canary and the whole.
@@ -164,7 +166,7 @@
             Share::FULL
         } else if left <= RAMP_LEFT {
             Share::from_fraction(RAMP_SHARE)
-        } else if held > Share::ZERO {
+        } else if held > Share::ZERO || passed < MEASURE_TIME {
             held
         } else {
             Share::from_fraction(self.canary(span, passed))
--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -5,7 +5,7 @@
     future::Future,
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -26,6 +26,8 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use trefoillock_backend::Body;
 
+use crate::in_flight::InFlight;
+
 /// The time for which an idle HTTP/1.1 connection is kept after a stop, so that a request that
 /// is on its way is still answered.
 const STOP_GRACE: Duration = Duration::from_millis(500);
@@ -61,6 +63,9 @@
 }
 
 /// What is known of a connection.
+/// The number of looks at a connection that is being closed before it counts as quiet.
+const QUIET_CHECKS: u32 = 5;
+
 const NEW: u8 = 0;
 const HTTP_1: u8 = 1;
 const HTTP_2: u8 = 2;
@@ -122,16 +127,19 @@
 {
     let _ = stream.set_nodelay(true);
     let version = Arc::new(AtomicU8::new(NEW));
+    let in_flight = Arc::new(AtomicUsize::new(0));
     let service = {
+        let in_flight = in_flight.clone();
         let version = version.clone();
         let stop = stop.clone();
         service_fn(move |req: Request<Incoming>| {
             let is_http_2 = req.version() == Version::HTTP_2;
             version.store(if is_http_2 { HTTP_2 } else { HTTP_1 }, Ordering::Relaxed);
+            let running = InFlight::new(in_flight.clone());
             let answer = handler(req);
             let stop = stop.clone();
             async move {
-                let mut resp = answer.await;
+                let mut resp = answer.await.map(|body| running.hold(body));
                 if !is_http_2 && stop.is_cancelled() {
                     let close = HeaderValue::from_static("close");
                     resp.headers_mut().insert(header::CONNECTION, close);
@@ -155,7 +163,21 @@
         }
     }
     conn.as_mut().graceful_shutdown();
-    let _ = conn.await;
+    tokio::select! {
+        _ = conn => {}
+        () = quiet(&in_flight) => {}
+    }
+}
+
+/// Ends once no request has been in flight for a while. A peer that is gone without a word never
+/// closes its end of the connection.
+async fn quiet(in_flight: &AtomicUsize) {
+    let mut idle_checks = 0;
+    while idle_checks < QUIET_CHECKS {
+        sleep(STOP_GRACE / QUIET_CHECKS).await;
+        let is_idle = in_flight.load(Ordering::Acquire) == 0;
+        idle_checks = if is_idle { idle_checks + 1 } else { 0 };
+    }
 }
 
 /// Ends if no request has arrived on a new connection in time.
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -18,6 +18,7 @@
 mod guards;
 mod headers;
 mod http_server;
+mod in_flight;
 mod load_header;
 mod peer_clients;
 mod recorder;
