--- a/trefoillock-caller/src/answer.rs
+++ b/trefoillock-caller/src/answer.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use http::{HeaderValue, Response};
+use http::{HeaderValue, Request, Response};
 use http_body_util::BodyExt;
 use trefoillock_backend::{Body, CallFailure, Crash, DeadlineBody, Execution, NotSent};
 use trefoillock_core::{Outcome, RefusalReason, headers};
@@ -47,6 +47,7 @@
         },
     };
     call.record(cx, seen);
+    log_failure(cx, call, failure);
     tell_unrouted(failure)
 }
 
@@ -62,3 +63,42 @@
 pub(crate) fn tell_unrouted(failure: &CallFailure) -> Response<Body> {
     refusal_answer(failure)
 }
+
+/// Writes a line about a call that no backend server answered.
+fn log_failure(cx: &NodeContext, call: &Call, failure: &CallFailure) {
+    let config = cx
+        .view()
+        .config()
+        .map_or(0, |config| config.version().get());
+    let members = cx.view().members().version;
+    let members = format!("{}.{}", members.term, members.sequence);
+    let elapsed = call.arrived.elapsed().as_millis();
+    let tried = call.tried();
+    let fields: [(&str, &dyn std::fmt::Display); 9] = [
+        ("request", &call.id),
+        ("route", &call.route.name),
+        ("outcome", &failure.outcome().as_str()),
+        ("reason", &failure.reason().as_str()),
+        ("server", &tried.last()),
+        ("attempts", &tried.count()),
+        ("elapsed_ms", &elapsed),
+        ("config_version", &config),
+        ("members_version", &members),
+    ];
+    cx.call_log().failed(cx.clock().now(), &fields);
+}
+
+/// Writes a line about a call that has no route or found no configuration.
+pub(crate) fn log_unrouted<B>(cx: &NodeContext, req: &Request<B>, failure: &CallFailure) {
+    let config = cx
+        .view()
+        .config()
+        .map_or(0, |config| config.version().get());
+    let fields: [(&str, &dyn std::fmt::Display); 4] = [
+        ("request", &cx.call_log().id(req.headers())),
+        ("outcome", &failure.outcome().as_str()),
+        ("reason", &failure.reason().as_str()),
+        ("config_version", &config),
+    ];
+    cx.call_log().failed(cx.clock().now(), &fields);
+}
--- a/trefoillock-caller/src/call.rs
+++ b/trefoillock-caller/src/call.rs
@@ -6,6 +6,8 @@
 use trefoillock_core::{Fingerprint, Pool, Route};
 use trefoillock_node::{CallRecord, MoveCall, NodeContext, Seen};
 
+use crate::tried::{SharedTried, Tried};
+
 /// A call with its route, pool and deadline.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -15,11 +17,20 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
+    /// The identity of the request in log lines.
+    pub(crate) id: String,
+    /// The backend servers that were chosen so far.
+    pub(crate) shared_tried: SharedTried,
     /// Whether the objective of the route bounds the time in a queue.
     pub(crate) by_objective: bool,
 }
 
 impl Call {
+    /// The backend servers that were chosen so far.
+    pub(crate) fn tried(&self) -> Tried {
+        self.shared_tried.get()
+    }
+
     /// The time that is left before the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use tokio::time::sleep;
 use trefoillock_backend::{Body, CallFailure, Crash, Execution};
-use trefoillock_core::{CrashReport, Member, RefusalReason, RouteClass, ServerId};
+use trefoillock_core::{CrashReport, Member, RefusalReason, RouteClass, ServerId, Timestamp};
 use trefoillock_node::{Delivery, NodeContext, draw};
 use trefoillock_policy::{Attempt, LoadHint, RetryDecision, SentState};
 
@@ -94,6 +94,7 @@
         let draw = u64::from(draw()) << 32 | u64::from(draw());
         let class = self.call.route.class;
         let member = self.pool.start(now, draw, class, &self.tried)?;
+        self.call.shared_tried.choose(&member.id);
         self.tried.push(member.id.clone());
         self.attempts += 1;
         Some(Flight::new(*self.cx.clock(), self.pool.clone(), member))
@@ -175,7 +176,25 @@
             max_sends: self.call.route.max_attempts,
             deadline: now + left,
         };
-        self.pool.retry(now, &attempt) == RetryDecision::Retry
+        let is_retried = self.pool.retry(now, &attempt) == RetryDecision::Retry;
+        if is_retried {
+            self.log_retry(now, failure);
+        }
+        is_retried
+    }
+
+    fn log_retry(&self, now: Timestamp, failure: &CallFailure) {
+        let tried = self.call.tried();
+        let elapsed = self.call.arrived.elapsed().as_millis();
+        let fields: [(&str, &dyn std::fmt::Display); 6] = [
+            ("request", &self.call.id),
+            ("route", &self.call.route.name),
+            ("server", &tried.last()),
+            ("reason", &failure.reason().as_str()),
+            ("attempts", &tried.count()),
+            ("elapsed_ms", &elapsed),
+        ];
+        self.cx.call_log().retried(now, &fields);
     }
 
     /// Whether the call was found to crash backend servers since it was admitted.
--- a/trefoillock-caller/src/entry.rs
+++ b/trefoillock-caller/src/entry.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    answer::{pass_on, refuse, tell, tell_answered, tell_unrouted},
+    answer::{log_unrouted, pass_on, refuse, tell, tell_answered, tell_unrouted},
     call::Call,
     dispatch::{Dispatch, is_resumed},
     keyed_posting::{self, KeyedAnswer},
@@ -24,6 +24,7 @@
     request::{deadline, fingerprint, host, idempotency_key},
     resume::resumable,
     route_state::RouteState,
+    tried::SharedTried,
 };
 
 /// Answers the calls of callers.
@@ -49,7 +50,10 @@
     pub async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         let mut call = match self.classify(&req) {
             Ok(call) => call,
-            Err(failure) => return tell_unrouted(&failure),
+            Err(failure) => {
+                log_unrouted(&self.cx, &req, &failure);
+                return tell_unrouted(&failure);
+            }
         };
         let mut req = req.map(box_body);
         strip_hop_by_hop(req.headers_mut());
@@ -104,6 +108,8 @@
             in_move,
             fingerprint: Fingerprint::new(0),
             arrived,
+            shared_tried: SharedTried::default(),
+            id: self.cx.call_log().id(req.headers()).to_owned(),
             by_objective: self.cx.calls().by_objective,
         })
     }
--- a/trefoillock-caller/src/lib.rs
+++ b/trefoillock-caller/src/lib.rs
@@ -19,6 +19,7 @@
 mod route_state;
 mod serve;
 mod stored_body;
+mod tried;
 
 pub use entry::Entry;
 pub use serve::serve;
--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -9,7 +9,9 @@
 use trefoillock_process::{CallSettings, Clock};
 use trefoillock_rpc::Token;
 
-use crate::{Delivery, EvidenceRecorder, Guards, NodeView, destination, peer_clients::PeerClients};
+use crate::{
+    CallLog, Delivery, EvidenceRecorder, Guards, NodeView, destination, peer_clients::PeerClients,
+};
 
 /// The identity of a node, what it holds, and its connections.
 #[derive(Debug)]
@@ -26,6 +28,7 @@
     guards: Arc<Guards>,
     tasks: TaskTracker,
     calls: CallSettings,
+    call_log: CallLog,
 }
 
 impl NodeContext {
@@ -53,6 +56,7 @@
             servers,
             tasks: TaskTracker::new(),
             calls: CallSettings::default(),
+            call_log: CallLog::default(),
         }
     }
 
@@ -63,6 +67,19 @@
         self
     }
 
+    /// Sets how lines about single calls are written.
+    #[must_use]
+    pub fn with_call_log(mut self, call_log: CallLog) -> Self {
+        self.call_log = call_log;
+        self
+    }
+
+    /// The lines about single calls.
+    #[must_use]
+    pub const fn call_log(&self) -> &CallLog {
+        &self.call_log
+    }
+
     /// How calls are treated beyond what their routes say.
     #[must_use]
     pub const fn calls(&self) -> &CallSettings {
--- a/trefoillock-node/src/delivery.rs
+++ b/trefoillock-node/src/delivery.rs
@@ -108,7 +108,9 @@
             deadline: Instant::now()
                 .checked_add(Duration::from_millis(number(headers::DEADLINE_MS)?))?,
             queue: Duration::from_millis(number(QUEUE_MS)?),
-            rank: u8::try_from(number(RANK)?).ok()?,
+            rank: number(RANK)
+                .and_then(|rank| u8::try_from(rank).ok())
+                .unwrap_or(DEFAULT_PRIORITY),
             objective: number(OBJECTIVE_MS)
                 .and_then(|millis| Instant::now().checked_add(Duration::from_millis(millis))),
         })
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`serve_peer()`] takes the calls of other nodes for the backend servers beside this one.
 //! - [`NodeContext::send`] sends a call to the node beside a backend server.
 
+mod call_log;
 mod context;
 mod delivery;
 mod destination;
@@ -29,6 +30,7 @@
 mod view;
 mod watched_body;
 
+pub use call_log::CallLog;
 pub use context::NodeContext;
 pub use delivery::Delivery;
 pub use detached_body::detach;
--- a/trefoillock-policy/src/admission.rs
+++ b/trefoillock-policy/src/admission.rs
@@ -321,11 +321,17 @@
         is_known && now + self.service_of(kind).likely() > deadline
     }
 
-    /// The time after which a call that comes now would get a slot, if none came after it.
+    /// The time after which a call that comes now would get a slot, if none came after it: the
+    /// lanes before it are served first, and the kinds of its own lane share the slots.
     fn expected_wait(&self, demand: &Demand) -> Duration {
-        let ahead = self.queue.before(demand.lane(), demand.objective);
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        self.hold.mean() / self.slots.max(1) * ahead.saturating_add(1)
+        let (lane, kind) = (demand.lane(), demand.kind());
+        let count = |calls: usize| u32::try_from(calls).unwrap_or(u32::MAX);
+        let before = self.hold.mean() * count(self.queue.before(lane));
+        let firsts = self.queue.first_of_each_kind(lane);
+        let others = firsts.iter().filter(|first| first.kind != kind).count();
+        let own = self.queue.before_in_kind(lane, kind, demand.objective);
+        let own = self.service_of(kind).mean() * count(own + 1) * count(others + 1);
+        (before + own) / self.slots.max(1)
     }
 
     /// The time after which a refused call finds the queue empty.
@@ -446,9 +452,22 @@
         admitted
     }
 
-    /// Takes the next waiting call of a class: the newest lookup under overload, else the
-    /// oldest call.
+    /// Takes the next waiting call of a lane.
+    ///
+    /// Calls with an objective: of the kinds that wait, the one that holds the fewest slots, so
+    /// that short calls between services and long postings of one rank cannot starve each other,
+    /// and of that kind the call with the earliest objective. Other calls: the newest lookup
+    /// under overload, else the oldest call.
     fn take(&mut self, lane: Lane) -> Option<Waiting> {
+        if self.queue.has_objectives() {
+            let firsts = self.queue.first_of_each_kind(lane);
+            let next = firsts
+                .into_iter()
+                .min_by_key(|waiting| (self.running_in(waiting.kind), waiting.objective));
+            if let Some(next) = next {
+                return self.queue.remove(next.ticket);
+            }
+        }
         if lane.class() == RouteClass::Lookup && self.is_overloaded {
             self.queue.pop_newest(lane)
         } else {
--- a/trefoillock-policy/src/service_time.rs
+++ b/trefoillock-policy/src/service_time.rs
@@ -6,6 +6,8 @@
 const AVERAGE_WEIGHT: f64 = 0.1;
 /// The part of the average that a call surely needs.
 const SURE_PART: f64 = 0.5;
+/// The mean deviations above the mean within which most calls end.
+const USUAL_DEVIATIONS: f64 = 1.5;
 /// The deviations above the average within which most calls end.
 const LIKELY_DEVIATIONS: f64 = 2.0;
 
@@ -33,7 +35,7 @@
 
     /// The time that most calls take; zero while none is known.
     pub(crate) fn usual(&self) -> Duration {
-        Duration::from_secs_f64(self.mean_s + self.deviation_s)
+        Duration::from_secs_f64(self.mean_s + USUAL_DEVIATIONS * self.deviation_s)
     }
 
     /// The mean time; zero while none is known.
--- a/trefoillock-policy/src/wait_queue.rs
+++ b/trefoillock-policy/src/wait_queue.rs
@@ -110,6 +110,17 @@
     }
 
     /// The time at which the time to wait of a call is over.
+    /// The first call of each kind that waits in a lane.
+    pub(crate) fn first_of_each_kind(&self, lane: Lane) -> Vec<Waiting> {
+        let mut firsts: Vec<Waiting> = Vec::new();
+        for waiting in self.lanes.get(&lane).into_iter().flat_map(BTreeMap::values) {
+            if firsts.iter().all(|first| first.kind != waiting.kind) {
+                firsts.push(*waiting);
+            }
+        }
+        firsts
+    }
+
     pub(crate) fn next_expiry(&self) -> Option<Timestamp> {
         self.expiry.first().map(|(until, _)| *until)
     }
@@ -133,11 +144,23 @@
         self.with_objective > 0
     }
 
-    /// The number of calls that get a slot before one of a lane and an objective.
-    pub(crate) fn before(&self, lane: Lane, objective: Option<Timestamp>) -> usize {
-        let lanes = self.lanes.range(..lane).map(|(_, calls)| calls.len());
-        let same = self.lanes.get(&lane);
-        let same = same.map_or(0, |calls| calls.range(..=(objective, u64::MAX)).count());
-        lanes.sum::<usize>() + same
+    /// The number of calls that wait in lanes before a lane.
+    pub(crate) fn before(&self, lane: Lane) -> usize {
+        let lanes = self.lanes.range(..lane);
+        lanes.map(|(_, calls)| calls.len()).sum()
+    }
+
+    /// The number of calls of a kind that get a slot before one with an objective.
+    pub(crate) fn before_in_kind(
+        &self,
+        lane: Lane,
+        kind: Lane,
+        objective: Option<Timestamp>,
+    ) -> usize {
+        let Some(calls) = self.lanes.get(&lane) else {
+            return 0;
+        };
+        let earlier = calls.range(..=(objective, u64::MAX));
+        earlier.filter(|(_, waiting)| waiting.kind == kind).count()
     }
 }
--- a/trefoillock-process/src/lib.rs
+++ b/trefoillock-process/src/lib.rs
@@ -7,6 +7,7 @@
 mod call_settings;
 mod clock;
 mod event;
+mod line_budget;
 mod logging;
 mod raw_settings;
 mod secret;
@@ -17,7 +18,8 @@
 pub use call_settings::CallSettings;
 pub use clock::Clock;
 pub use event::{Event, LogLevel};
-pub use logging::{LogError, LogFormat, log_event, start_logging};
+pub use line_budget::LineBudget;
+pub use logging::{LogError, LogFormat, LogTarget, log_event, start_logging};
 pub use secret::read_secret;
 pub use settings::{
     ControlSettings, Founding, LogSettings, NodeSettings, ReplicaAddress, Settings, SettingsError,
--- a/trefoillock-process/src/logging.rs
+++ b/trefoillock-process/src/logging.rs
@@ -28,12 +28,21 @@
     Json,
 }
 
-/// Starts to write the log to standard error.
+/// Where the log is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogTarget {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
+/// Starts to write the log.
 ///
 /// # Errors
 ///
 /// Returns an error if the process already has a log.
-pub fn start_logging(level: LevelFilter) -> Result<(), LogError> {
+pub fn start_logging(level: LevelFilter, target: LogTarget) -> Result<(), LogError> {
     let config = ConfigBuilder::new()
         .set_time_level(LevelFilter::Off)
         .set_level_padding(simplelog::LevelPadding::Off)
@@ -43,7 +52,11 @@
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("trefoillock")
         .build();
-    WriteLogger::init(level, config, std::io::stderr()).map_err(|error| LogError(error.to_string()))
+    let started = match target {
+        LogTarget::Stdout => WriteLogger::init(level, config, std::io::stdout()),
+        LogTarget::Stderr => WriteLogger::init(level, config, std::io::stderr()),
+    };
+    started.map_err(|error| LogError(error.to_string()))
 }
 
 /// Logs an event with named fields.
--- a/trefoillock-roles/src/edges.rs
+++ b/trefoillock-roles/src/edges.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures::{FutureExt, future::BoxFuture};
+use http::HeaderName;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use trefoillock_backend::{BackendInterface, Dialect, LEASE, OwnDialect};
@@ -23,6 +24,11 @@
     /// The time for which an announcement of a backend server lasts.
     fn announcement_lease(&self) -> Duration;
 
+    /// The header that names a request in log lines, if callers send one.
+    fn request_id_header(&self) -> Option<HeaderName> {
+        None
+    }
+
     /// Takes the calls of callers.
     fn serve_callers(
         &self,
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -11,7 +11,7 @@
 use trefoillock_control::{LocalEvidence, NodeAgent, NodeIdentity, NodeInputs, NodeOutputs};
 use trefoillock_core::{Error, Evidence, Incarnation};
 use trefoillock_moves::LocalJudge;
-use trefoillock_node::{NodeContext, NodeView};
+use trefoillock_node::{CallLog, NodeContext, NodeView};
 use trefoillock_process::{Event, NodeSettings};
 use trefoillock_rpc::{RpcServer, Traffic};
 
@@ -45,6 +45,7 @@
         let interface = Arc::new(interface);
         let incarnation = Incarnation::new(cx.clock.now().as_micros());
         let (name, data_centre) = (cx.settings.name.clone(), cx.settings.data_centre.clone());
+        let call_log = CallLog::new(cx.settings.log.format, edges.request_id_header());
         let node = NodeContext::new(
             name.clone(),
             incarnation,
@@ -53,7 +54,7 @@
             cx.clock,
             interface.servers(),
         );
-        let node = Arc::new(node.with_calls(cx.settings.calls));
+        let node = Arc::new(node.with_calls(cx.settings.calls).with_call_log(call_log));
         let (evidence_tx, evidence) = mpsc::channel(EVIDENCE_QUEUE);
         let traffic = Arc::new(Traffic::new());
         let identity = NodeIdentity {
--- a/trefoillockd/src/main.rs
+++ b/trefoillockd/src/main.rs
@@ -5,7 +5,7 @@
 use pico_args::Arguments;
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::Error;
-use trefoillock_process::{Settings, cancel_on_signal, start_logging};
+use trefoillock_process::{LogTarget, Settings, cancel_on_signal, start_logging};
 use trefoillock_roles::{Daemon, bootstrap, check_data_folder, join};
 
 /// The exit code for malformed arguments or settings.
@@ -100,7 +100,7 @@
 }
 
 fn serve(settings: Settings) -> ExitCode {
-    if let Err(error) = start_logging(settings.log.level) {
+    if let Err(error) = start_logging(settings.log.level, LogTarget::Stderr) {
         return malformed(&error.to_string());
     }
     let runtime = match tokio::runtime::Builder::new_multi_thread()
