--- a/trefoillock-backend/src/local_servers.rs
+++ b/trefoillock-backend/src/local_servers.rs
@@ -64,15 +64,12 @@
         let mut next = Map::default();
         for announcement in list {
             let held = servers.get(&announcement.address);
-            let server = match held.filter(|held| held.continues(announcement)) {
-                Some(held) => {
-                    held.set_state(announcement.state);
-                    held.clone()
-                }
-                None => {
-                    let server = LocalServer::new(announcement.clone(), self.clock);
-                    Arc::new(server.dialect(self.dialect.clone()))
-                }
+            let server = if let Some(held) = held.filter(|held| held.continues(announcement)) {
+                held.set_state(announcement.state);
+                held.clone()
+            } else {
+                let server = LocalServer::new(announcement.clone(), self.clock);
+                Arc::new(server.dialect(self.dialect.clone()))
             };
             next.insert(announcement.address, server);
         }
--- a/trefoillock-caller/src/answer.rs
+++ b/trefoillock-caller/src/answer.rs
@@ -81,9 +81,9 @@
         ("reason", &failure.reason().as_str()),
         ("server", &tried.last()),
         ("attempts", &tried.count()),
-        ("elapsed_ms", &elapsed),
-        ("config_version", &config),
-        ("members_version", &members),
+        ("millis", &elapsed),
+        ("config", &config),
+        ("members", &members),
     ];
     cx.call_log().failed(cx.clock().now(), &fields);
 }
@@ -98,7 +98,7 @@
         ("request", &cx.call_log().id(req.headers())),
         ("outcome", &failure.outcome().as_str()),
         ("reason", &failure.reason().as_str()),
-        ("config_version", &config),
+        ("config", &config),
     ];
     cx.call_log().failed(cx.clock().now(), &fields);
 }
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -192,7 +192,7 @@
             ("server", &tried.last()),
             ("reason", &failure.reason().as_str()),
             ("attempts", &tried.count()),
-            ("elapsed_ms", &elapsed),
+            ("millis", &elapsed),
         ];
         self.cx.call_log().retried(now, &fields);
     }
--- a/trefoillock-caller/src/entry.rs
+++ b/trefoillock-caller/src/entry.rs
@@ -27,11 +27,14 @@
     tried::SharedTried,
 };
 
+/// What the entry knows of the backend servers of a pool that run some of its versions.
+type PoolPart = (PoolVersions, Arc<PoolState>);
+
 /// Answers the calls of callers.
 #[derive(Debug)]
 pub struct Entry {
     cx: Arc<NodeContext>,
-    pools: Mutex<Map<PoolName, Vec<(PoolVersions, Arc<PoolState>)>>>,
+    pools: Mutex<Map<PoolName, Vec<PoolPart>>>,
     routes: Mutex<Map<RouteName, Arc<RouteState>>>,
 }
 
@@ -208,18 +211,15 @@
                 Some(parts) => parts,
                 None => pools.entry(pool.name.clone()).or_default(),
             };
-            match parts
-                .iter()
-                .find(|(versions, _)| *versions == pool.versions)
-            {
-                Some((_, state)) => state.clone(),
-                None => {
-                    let burst = self.cx.calls().retry_burst;
-                    let state = PoolState::new(pool, self.cx.data_centre().clone(), burst);
-                    let state = Arc::new(state);
-                    parts.push((pool.versions.clone(), state.clone()));
-                    state
-                }
+            let held = parts.iter().find(|part| part.0 == pool.versions);
+            if let Some((_, state)) = held {
+                state.clone()
+            } else {
+                let burst = self.cx.calls().retry_burst;
+                let state = PoolState::new(pool, self.cx.data_centre().clone(), burst);
+                let state = Arc::new(state);
+                parts.push((pool.versions.clone(), state.clone()));
+                state
             }
         };
         let members = self.cx.view().servers(pool);
--- a/trefoillock-moves/tests/rollouts.rs
+++ b/trefoillock-moves/tests/rollouts.rs
@@ -101,8 +101,9 @@
         let mut evidence = MoveEvidence::default();
         let calls = rate * STEP.as_secs_f64();
         outcome.calls += calls;
-        let whole = calls.floor() + f64::from(u8::from(rng.random::<f64>() < calls.fract()));
-        for _ in 0..whole as usize {
+        let mut left = calls.floor() + f64::from(u8::from(rng.random::<f64>() < calls.fract()));
+        while left >= 1.0 {
+            left -= 1.0;
             let is_new = rng.random::<f64>() < held.share.fraction();
             outcome.exposed += f64::from(u8::from(is_new));
             let acts = is_new && passed >= behaviour.from;
--- a/trefoillock-node/src/call_log.rs
+++ b/trefoillock-node/src/call_log.rs
@@ -65,7 +65,7 @@
         let taken = lock(&self.failures).take(now);
         if let Some(left_out) = taken {
             let mut fields = fields.to_vec();
-            fields.push(("left_out", &left_out));
+            fields.push(("omitted", &left_out));
             log_event(self.format, now, Event::CallFailed, &fields);
         }
     }
--- a/trefoillock-policy/tests/objectives.rs
+++ b/trefoillock-policy/tests/objectives.rs
@@ -183,7 +183,7 @@
 #[test]
 fn the_pause_grows_with_the_queue() {
     let mut admission = Admission::new(1, 2, Duration::from_millis(100));
-    let far = START + Duration::from_secs(60);
+    let far = START + Duration::from_mins(1);
     let demand = Demand::new(RouteClass::Lookup, far).objective(far);
     assert_eq!(
         admission.offer(START, Ticket::new(0), demand),
--- a/trefoillock-process/src/call_settings.rs
+++ b/trefoillock-process/src/call_settings.rs
@@ -8,6 +8,10 @@
 /// Settings of the calls of a node.
 #[data(key)]
 #[serde(default, deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the switches are independent"
+)]
 pub struct CallSettings {
     /// Whether a slow lookup is sent to a second backend server.
     pub hedges: bool,
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -113,9 +113,9 @@
     GuardsChanged = 1701, "guards-changed", Info;
     /// A request is refused everywhere because it crashed backend servers; fields: fingerprint.
     RequestQuarantined = 1702, "request-quarantined", Warn;
-    /// A call was tried again; fields: request, route, server, reason, attempts, elapsed_ms.
+    /// A call was tried again; fields: request, route, server, reason, attempts, millis.
     CallRetried = 1801, "call-retried", Info;
     /// A call ended without an answer of a backend server; fields: request, route, outcome,
-    /// reason, server, attempts, elapsed_ms, config_version, members_version, left_out.
+    /// reason, server, attempts, millis, config, members, omitted.
     CallFailed = 1802, "call-failed", Warn;
 }
--- a/trefoillock-replica/src/admittance.rs
+++ b/trefoillock-replica/src/admittance.rs
@@ -68,12 +68,12 @@
     pub fn rpc_routes(&self, server: RpcServer) -> RpcServer {
         let admittance = self.clone();
         server.unary(JOIN_PATH, move |req: JoinRequest| {
-            let answer = admittance.asked(Instant::now(), req);
+            let answer = admittance.asked(Instant::now(), &req);
             async move { Ok(answer) }
         })
     }
 
-    fn asked(&self, now: Instant, req: JoinRequest) -> JoinAnswer {
+    fn asked(&self, now: Instant, req: &JoinRequest) -> JoinAnswer {
         if *req.system == *self.system {
             let candidate = (req.candidate, now);
             self.candidates().insert(req.candidate.id, candidate);
--- a/trefoillock-replica/src/timing.rs
+++ b/trefoillock-replica/src/timing.rs
@@ -25,7 +25,7 @@
         Self {
             heartbeat: Duration::from_millis(100),
             election_min: Duration::from_millis(500),
-            election_max: Duration::from_millis(1_000),
+            election_max: Duration::from_secs(1),
             lease: Duration::from_millis(300),
             max_clock_step: Duration::from_millis(200),
         }
