fix(node): read what a peer still sends before its connection is closed

Cause: a socket that is closed with unread bytes resets, and the peer loses the end of an answer that it has not read; a stopping node closes HTTP/2 connections right after their last answer, while window updates of the peer are on their way.

--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -26,7 +26,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use trefoillock_backend::Body;
 
-use crate::in_flight::InFlight;
+use crate::{in_flight::InFlight, lingering_stream::LingeringStream};
 
 /// The time for which an idle HTTP/1.1 connection is kept after a stop, so that a request that
 /// is on its way is still answered.
@@ -149,7 +149,7 @@
         })
     };
     let builder = builder(limits);
-    let conn = builder.serve_connection(TokioIo::new(stream), service);
+    let conn = builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     let mut conn = std::pin::pin!(conn);
     tokio::select! {
         _ = conn.as_mut() => return,
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -20,6 +20,7 @@
 mod headers;
 mod http_server;
 mod in_flight;
+mod lingering_stream;
 mod load_header;
 mod peer_clients;
 mod recorder;
