fix(replica): a lease that keeps the margin for clocks that run apart

Found in review: with elections of 0.5 s a lease of 0.3 s left no room for the 10% by which two clocks may run apart (lease + 200 ms step + 10% of the lease <= election_min). 270 ms does.

--- a/trefoillock-replica/src/timing.rs
+++ b/trefoillock-replica/src/timing.rs
@@ -26,7 +26,7 @@
             heartbeat: Duration::from_millis(100),
             election_min: Duration::from_millis(500),
             election_max: Duration::from_secs(1),
-            lease: Duration::from_millis(300),
+            lease: Duration::from_millis(270),
             max_clock_step: Duration::from_millis(200),
         }
     }
