test(replica): derive the times of the isolated leader's test from the timing

The test waited 800 ms, between lease and stepping down under the former defaults only (700 ms and 1 s).

--- a/trefoillock-replica/tests/machine.rs
+++ b/trefoillock-replica/tests/machine.rs
@@ -248,14 +248,21 @@
     machine.replica.read(machine.now, ReadId::new(1));
     machine.settle();
     assert_eq!(machine.reads, [Effect::ReadReady(ReadId::new(1))]);
-    machine.pass(Duration::from_millis(800));
+    // Past the lease, and not yet so long that it steps down.
+    let Timing {
+        lease,
+        election_min,
+        ..
+    } = Timing::default();
+    machine.pass(lease + (election_min - lease) / 2);
+    assert_eq!(machine.replica.role(), RoleKind::Leader);
     assert_eq!(machine.replica.lease_until(), None);
     let refused = machine.replica.propose(machine.now, Payload::default());
     assert_eq!(refused, Err(ProposeRefusal::NotLeader));
     machine.replica.read(machine.now, ReadId::new(2));
     machine.settle();
     assert_eq!(machine.reads.len(), 1);
-    machine.pass(Duration::from_millis(400));
+    machine.pass(election_min - lease);
     assert_ne!(machine.replica.role(), RoleKind::Leader);
     assert_eq!(machine.reads[1..], [Effect::ReadFailed(ReadId::new(2))]);
 }
