--- a/trefoillock-replica/tests/machine.rs
+++ b/trefoillock-replica/tests/machine.rs
@@ -254,7 +254,8 @@
         election_min,
         ..
     } = Timing::default();
-    machine.pass(lease + (election_min - lease) / 2);
+    let rest = election_min.saturating_sub(lease);
+    machine.pass(lease + rest / 2);
     assert_eq!(machine.replica.role(), RoleKind::Leader);
     assert_eq!(machine.replica.lease_until(), None);
     let refused = machine.replica.propose(machine.now, Payload::default());
@@ -262,7 +263,7 @@
     machine.replica.read(machine.now, ReadId::new(2));
     machine.settle();
     assert_eq!(machine.reads.len(), 1);
-    machine.pass(election_min - lease);
+    machine.pass(rest);
     assert_ne!(machine.replica.role(), RoleKind::Leader);
     assert_eq!(machine.reads[1..], [Effect::ReadFailed(ReadId::new(2))]);
 }
