--- a/trefoillock-policy/src/lib.rs
+++ b/trefoillock-policy/src/lib.rs
@@ -9,13 +9,13 @@
 //! ```
 //! use std::time::Duration;
 //! use trefoillock_core::{RouteClass, Timestamp};
-//! use trefoillock_policy::{Admission, Offer, Ticket};
+//! use trefoillock_policy::{Admission, Demand, Offer, Ticket};
 //!
 //! let now = Timestamp::from_secs(1);
 //! let mut admission = Admission::new(1, 10, Duration::from_millis(100));
 //! let deadline = now + Duration::from_secs(1);
-//! let first = admission.offer(now, Ticket::new(1), RouteClass::Posting, deadline);
-//! let second = admission.offer(now, Ticket::new(2), RouteClass::Lookup, deadline);
+//! let first = admission.offer(now, Ticket::new(1), Demand::new(RouteClass::Posting, deadline));
+//! let second = admission.offer(now, Ticket::new(2), Demand::new(RouteClass::Lookup, deadline));
 //! assert_eq!((first, second), (Offer::Admitted, Offer::Queued));
 //! assert_eq!(admission.release(now, Ticket::new(1)), vec![Ticket::new(2)]);
 //! ```
