--- a/trefoillock-control/src/payload.rs
+++ b/trefoillock-control/src/payload.rs
@@ -2,8 +2,12 @@
 
 use std::{fmt, sync::Arc};
 
-use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Visitor};
+use serde::{
+    Deserialize, Deserializer, Serialize, Serializer,
+    de::{DeserializeOwned, Visitor},
+};
 use trefoillock_core::{Config, ConfigDelta, Members, data};
+use trefoillock_store::encoding;
 
 use crate::MembersDelta;
 
@@ -34,13 +38,13 @@
     /// receiver accepts.
     #[must_use]
     pub fn encode<T: Serialize>(update: &T) -> Self {
-        Self(rmp_serde::to_vec_named(update).unwrap_or_default().into())
+        Self(encoding::encode(update).unwrap_or_default().into())
     }
 
     /// Decodes the update, or returns `None` if the bytes do not form one.
     #[must_use]
-    pub fn decode<T: for<'de> Deserialize<'de>>(&self) -> Option<T> {
-        rmp_serde::from_slice(&self.0).ok()
+    pub fn decode<T: DeserializeOwned>(&self) -> Option<T> {
+        encoding::decode(&self.0).ok()
     }
 
     /// The number of bytes.
--- a/trefoillock-store/src/command.rs
+++ b/trefoillock-store/src/command.rs
@@ -1,12 +1,11 @@
 //! The commands of the replicated log and the answers to them.
 
-use displaydoc::Display;
 use trefoillock_core::{
     Edit, EditAnswer, GuardSet, GuardSlot, MoveId, MoveStep, RolloutStep, ServiceName, Timestamp,
     VersionLabel, data,
 };
 
-use crate::{ReplaceAnswer, Replacement};
+use crate::{EncodingError, ReplaceAnswer, Replacement, encoding};
 
 /// A command that the replicated log holds.
 #[data]
@@ -47,8 +46,8 @@
     /// # Errors
     ///
     /// Returns an error if the command cannot be encoded.
-    pub fn encode(&self) -> Result<Vec<u8>, CommandError> {
-        rmp_serde::to_vec_named(self).map_err(|error| CommandError(error.to_string()))
+    pub fn encode(&self) -> Result<Vec<u8>, EncodingError> {
+        encoding::encode(self)
     }
 
     /// Decodes a command from the log.
@@ -56,17 +55,11 @@
     /// # Errors
     ///
     /// Returns an error if the bytes are no command.
-    pub fn decode(bytes: &[u8]) -> Result<Self, CommandError> {
-        rmp_serde::from_slice(bytes).map_err(|error| CommandError(error.to_string()))
+    pub fn decode(bytes: &[u8]) -> Result<Self, EncodingError> {
+        encoding::decode(bytes)
     }
 }
 
-/// the command cannot be encoded or decoded: {0}
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
-pub struct CommandError(pub(crate) String);
-
-impl std::error::Error for CommandError {}
-
 /// The answer to the wish to cancel a move.
 #[data(key)]
 pub enum CancelAnswer {
@@ -105,8 +98,8 @@
     /// # Errors
     ///
     /// Returns an error if the answer cannot be encoded.
-    pub fn encode(&self) -> Result<Vec<u8>, CommandError> {
-        rmp_serde::to_vec_named(self).map_err(|error| CommandError(error.to_string()))
+    pub fn encode(&self) -> Result<Vec<u8>, EncodingError> {
+        encoding::encode(self)
     }
 
     /// Decodes an answer.
@@ -114,7 +107,7 @@
     /// # Errors
     ///
     /// Returns an error if the bytes are no answer.
-    pub fn decode(bytes: &[u8]) -> Result<Self, CommandError> {
-        rmp_serde::from_slice(bytes).map_err(|error| CommandError(error.to_string()))
+    pub fn decode(bytes: &[u8]) -> Result<Self, EncodingError> {
+        encoding::decode(bytes)
     }
 }
--- a/trefoillock-store/src/lib.rs
+++ b/trefoillock-store/src/lib.rs
@@ -22,9 +22,12 @@
 
 mod command;
 mod edits;
+pub mod encoding;
+mod encoding_error;
 mod replacement;
 mod table_store;
 
-pub use command::{CancelAnswer, Command, CommandAnswer, CommandError};
+pub use command::{CancelAnswer, Command, CommandAnswer};
+pub use encoding_error::EncodingError;
 pub use replacement::{Document, ReplaceAnswer, Replacement};
 pub use table_store::{RestoreError, TableStore};
--- a/trefoillock-store/src/table_store.rs
+++ b/trefoillock-store/src/table_store.rs
@@ -17,6 +17,7 @@
 use crate::{
     CancelAnswer, Command, CommandAnswer, Document, ReplaceAnswer, Replacement,
     edits::{EditPlan, plan_edit},
+    encoding,
 };
 
 /// The number of ended moves that are kept for reports.
@@ -139,7 +140,7 @@
     /// Encodes the whole state.
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
-        rmp_serde::to_vec_named(&self.state).unwrap_or_default()
+        encoding::encode(&self.state).unwrap_or_default()
     }
 
     /// Replaces the state by an encoded one.
@@ -150,7 +151,7 @@
     /// configuration.
     pub fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
         let state: State =
-            rmp_serde::from_slice(snapshot).map_err(|error| RestoreError(error.to_string()))?;
+            encoding::decode(snapshot).map_err(|error| RestoreError(error.to_string()))?;
         state
             .config
             .check()
