--- a/trefoillock-control/src/source_machine.rs
+++ b/trefoillock-control/src/source_machine.rs
@@ -8,8 +8,8 @@
 };
 
 use trefoillock_core::{
-    Config, CrashReport, DataCentre, Evidence, Fingerprint, Guard, Members, MembersVersion, NodeId,
-    Term, Timestamp,
+    Config, CrashReport, DataCentre, Evidence, Fingerprint, Guard, Map, Members, MembersVersion,
+    NodeId, Term, Timestamp,
 };
 
 use crate::{
@@ -24,12 +24,20 @@
 const ADMITTED_PER_SECOND: u32 = 400;
 /// The time after which a node asks again while there is no leader or no place for it.
 const RETRY: Duration = Duration::from_millis(150);
+/// The time for which a node waits at a replica that knows no leader; shorter than
+/// [`ATTACH_TIMEOUT`](crate::timing::ATTACH_TIMEOUT), so that the node hears when to ask again.
+const WAIT_FOR_LEADER: Duration = Duration::from_millis(300);
+/// The largest number of nodes that wait at one replica.
+const MAX_WAITING: usize = 2_048;
 /// The largest number of crash reports that are remembered to drop repeats.
 const MAX_SEEN_CRASHES: usize = 4_096;
 /// The time after which the list of members is built again without a change of the fleet.
 const MEMBERS_REFRESH: Duration = Duration::from_secs(1);
 /// The time after which a new leader waits for most of the known backend servers only.
 const HEARD_GRACE: Duration = Duration::from_millis(1_200);
+/// The time after which a new leader publishes a part of a fleet in which no node holds a list;
+/// a node that holds one would have attached by then, within one [`RETRY`].
+const NEW_FLEET_GRACE: Duration = Duration::from_millis(160);
 /// The share of the known backend servers, in percent, that a new leader waits for then.
 const HEARD_PERCENT: u64 = 90;
 
@@ -89,6 +97,8 @@
     is_dirty: bool,
     quarantined: BTreeMap<Fingerprint, Timestamp>,
     relays: Vec<(DataCentre, SocketAddr)>,
+    /// The nodes that wait for a leader to be known, with the time until which they do.
+    waiting: Map<ChildKey, (Hello, Timestamp)>,
     replicas: Vec<SocketAddr>,
     evidence: Evidence,
     crashes: Vec<CrashReport>,
@@ -116,6 +126,7 @@
             is_dirty: false,
             quarantined: BTreeMap::new(),
             relays: Vec::new(),
+            waiting: Map::default(),
             replicas: Vec::new(),
             evidence: Evidence::default(),
             crashes: Vec::new(),
@@ -142,6 +153,7 @@
                 (SourceRole::Following { .. }, SourceRole::Following { .. }) => {}
             }
         }
+        self.answer_waiting(now);
         self.send_updates(now);
     }
 
@@ -200,7 +212,16 @@
             SourceRole::Following {
                 leader: Some(leader),
             } => Err(DownMessage::Redirect(ParentAddress::control(leader))),
-            SourceRole::Following { leader: None } => Err(self.place_without_leader(hello)),
+            SourceRole::Following { leader: None } => match self.place_without_leader(hello) {
+                Some(relay) => Err(relay),
+                None if hello.is_probe || self.waiting.len() >= MAX_WAITING => {
+                    Err(retry_after(RETRY))
+                }
+                None => {
+                    self.waiting.insert(key, (hello.clone(), now + WAIT_FOR_LEADER));
+                    return;
+                }
+            },
         };
         if let Err(answer) = answer {
             self.refuse(key, answer);
@@ -234,7 +255,7 @@
     }
 
     /// Sends a node to a relay that was attached when this replica last led.
-    fn place_without_leader(&self, hello: &Hello) -> DownMessage {
+    fn place_without_leader(&self, hello: &Hello) -> Option<DownMessage> {
         let is_near = |(data_centre, address): &&(DataCentre, SocketAddr)| {
             *data_centre == hello.record.data_centre
                 && *address != hello.record.mesh_address
@@ -242,11 +263,27 @@
         };
         let near: Vec<_> = self.relays.iter().filter(is_near).collect();
         let at = usize::try_from(hello.record.order().attachment).unwrap_or_default();
-        match near.get(at % near.len().max(1)) {
-            Some((_, relay)) if !hello.is_probe => {
-                DownMessage::Redirect(ParentAddress::relay(*relay))
+        let (_, relay) = near.get(at % near.len().max(1))?;
+        (!hello.is_probe).then(|| DownMessage::Redirect(ParentAddress::relay(*relay)))
+    }
+
+    /// Answers the nodes that waited, once a leader is known or their time is over.
+    fn answer_waiting(&mut self, now: Timestamp) {
+        if self.role == (SourceRole::Following { leader: None }) {
+            let late: Vec<ChildKey> = self
+                .waiting
+                .iter()
+                .filter(|(_, (_, until))| now >= *until)
+                .map(|(key, _)| *key)
+                .collect();
+            for key in late {
+                self.waiting.remove(&key);
+                self.refuse(key, retry_after(RETRY));
             }
-            Some(_) | None => retry_after(RETRY),
+            return;
+        }
+        for (key, (hello, _)) in std::mem::take(&mut self.waiting) {
+            self.on_hello(now, key, &hello);
         }
     }
 
@@ -328,6 +365,7 @@
 
     /// Notes that the connection of a child ended.
     pub fn on_closed(&mut self, now: Timestamp, key: ChildKey) {
+        self.waiting.remove(&key);
         let lost = self.distributor.remove(key);
         self.apply(now, lost.into_iter().collect());
     }
@@ -335,6 +373,7 @@
     /// Does what is due at this time.
     pub fn on_tick(&mut self, now: Timestamp) {
         if !self.is_leading() {
+            self.answer_waiting(now);
             return;
         }
         for key in self.distributor.silent(now) {
@@ -359,9 +398,12 @@
         let leading = now.since(self.leading_since);
         let heard = self.table.servers_heard() as u64 * 100;
         let known = u64::from(self.servers_known);
+        // Of a fleet that starts anew nobody holds a list, so a part of it is better than none.
+        let is_new_fleet = known == 0 && heard > 0;
         let is_whole = heard >= known * 100;
         let is_most = heard >= known * HEARD_PERCENT;
         leading >= LEADER_GRACE_LIMIT
+            || (leading >= NEW_FLEET_GRACE && is_new_fleet)
             || (leading >= LEADER_GRACE && is_whole)
             || (leading >= HEARD_GRACE && is_most)
     }
--- /dev/null
+++ b/trefoillock-control/tests/new_fleet.rs
@@ -0,0 +1,154 @@
+//! The first seconds of a leader: nodes that wait for it, and its first list of members.
+
+mod common;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use trefoillock_control::{
+    ChildKey, ChildState, DownMessage, Hello, NodeRecord, Repair, Report, SourceEffect, SourceMachine,
+    SourceRole, SourceState, UpMessage,
+    timing::{ATTACH_TIMEOUT, LEADER_GRACE},
+};
+use trefoillock_core::{Config, Incarnation, Term, Timestamp};
+
+const START: Timestamp = Timestamp::from_secs(1_000);
+const NODE: ChildKey = ChildKey::new(1);
+
+fn control() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 9], 7_000))
+}
+
+fn source() -> SourceMachine {
+    SourceMachine::new(control())
+}
+
+fn state(role: SourceRole) -> SourceState {
+    SourceState {
+        role,
+        config: Arc::new(Config::default()),
+        replicas: vec![control()],
+    }
+}
+
+fn leads() -> SourceState {
+    state(SourceRole::Leading { term: Term::new(3) })
+}
+
+/// A node that holds a list with a number of backend servers.
+fn hello(servers_known: u32) -> UpMessage {
+    let address = SocketAddr::from(([10, 0, 0, 1], 7_000));
+    let record = NodeRecord {
+        node: "vm-1".try_into().expect("a name"),
+        incarnation: Incarnation::new(1),
+        attachment: 1,
+        revision: 1,
+        data_centre: "wa-west-a".try_into().expect("a name"),
+        peer_address: address,
+        mesh_address: address,
+        parent: None,
+        announcements: vec![common::announcement(
+            SocketAddr::from(([127, 0, 0, 1], 9_000)),
+            1,
+        )],
+    };
+    let state = ChildState {
+        servers_known,
+        ..ChildState::default()
+    };
+    UpMessage::Hello(Box::new(Hello {
+        record,
+        is_probe: false,
+        avoid: None,
+        subtree: Vec::new(),
+        report: Report {
+            sequence: 1,
+            round: 0,
+            is_urgent: false,
+            repair: Repair::None,
+            state: Some(state),
+            changes: Vec::new(),
+            evidence: None,
+        },
+    }))
+}
+
+fn is_welcomed(effects: &[SourceEffect]) -> bool {
+    effects.contains(&SourceEffect::Send(NODE, DownMessage::Welcome))
+}
+
+/// The time from the start of the leadership to its first list.
+fn first_list(servers_known: u32) -> Duration {
+    let mut source = source();
+    source.set_state(START, &leads());
+    source.on_message(START, NODE, &hello(servers_known));
+    let step = Duration::from_millis(10);
+    let mut passed = Duration::ZERO;
+    while source.members().servers.is_empty() {
+        passed += step;
+        assert!(passed < Duration::from_secs(5), "a list is made");
+        source.on_tick(START + passed);
+    }
+    passed
+}
+
+#[test]
+fn a_node_waits_for_the_leader_and_is_taken_when_there_is_one() {
+    let mut source = source();
+    source.set_state(START, &state(SourceRole::Following { leader: None }));
+    source.on_message(START, NODE, &hello(0));
+    assert_eq!(source.take_effects(), []);
+    let elected = START + Duration::from_millis(50);
+    source.set_state(elected, &leads());
+    assert!(is_welcomed(&source.take_effects()));
+}
+
+#[test]
+fn a_node_that_waits_is_sent_to_a_leader_elsewhere() {
+    let mut source = source();
+    source.on_message(START, NODE, &hello(0));
+    let leader = Some(SocketAddr::from(([10, 0, 0, 8], 7_000)));
+    source.set_state(START, &state(SourceRole::Following { leader }));
+    let effects = source.take_effects();
+    assert!(
+        matches!(
+            effects.as_slice(),
+            [
+                SourceEffect::Send(NODE, DownMessage::Redirect(_)),
+                SourceEffect::Close(NODE)
+            ]
+        ),
+        "{effects:?}"
+    );
+}
+
+#[test]
+fn a_node_hears_when_to_ask_again_before_it_gives_up() {
+    let mut source = source();
+    source.on_message(START, NODE, &hello(0));
+    source.on_tick(START + ATTACH_TIMEOUT / 4);
+    assert_eq!(source.take_effects(), []);
+    source.on_tick(START + ATTACH_TIMEOUT * 3 / 4);
+    let effects = source.take_effects();
+    assert!(
+        matches!(
+            effects.first(),
+            Some(SourceEffect::Send(NODE, DownMessage::Retry { .. }))
+        ),
+        "{effects:?}"
+    );
+}
+
+#[test]
+fn a_node_that_left_while_it_waited_is_not_taken() {
+    let mut source = source();
+    source.on_message(START, NODE, &hello(0));
+    source.on_closed(START, NODE);
+    source.set_state(START, &leads());
+    assert!(!is_welcomed(&source.take_effects()));
+}
+
+#[test]
+fn a_fleet_without_lists_gets_its_first_one_early() {
+    assert!(first_list(0) < LEADER_GRACE);
+    assert!(first_list(1) >= LEADER_GRACE);
+}
--- a/trefoillock-replica/examples/replica_recovery.rs
+++ b/trefoillock-replica/examples/replica_recovery.rs
@@ -83,6 +83,7 @@
         Snapshots::Never => Limits {
             snapshot_every: u64::MAX,
             log_bytes: usize::MAX,
+            replay_bytes: usize::MAX,
             ..Limits::default()
         },
     }
--- a/trefoillock-replica/src/message.rs
+++ b/trefoillock-replica/src/message.rs
@@ -48,6 +48,9 @@
         term: Term,
         /// The last position of the sender's log.
         last: Position,
+        /// As in [`Message::Vote`].
+        #[serde(default)]
+        relinquished: Term,
     },
     /// Answers [`Message::PreVote`].
     PreVoteAnswer {
@@ -62,6 +65,10 @@
         term: Term,
         /// The last position of the candidate's log.
         last: Position,
+        /// A term whose leader's lease has ended for certain, with all earlier ones: the sender
+        /// led in this term and has restarted since. Zero if there is none.
+        #[serde(default)]
+        relinquished: Term,
     },
     /// Answers [`Message::Vote`].
     VoteAnswer {
--- a/trefoillock-replica/src/peers.rs
+++ b/trefoillock-replica/src/peers.rs
@@ -15,8 +15,11 @@
 const MESSAGES_PATH: &str = "/trefoillock.replica/messages";
 /// The number of messages that wait for a slow peer; further ones are dropped.
 const QUEUED_MESSAGES: usize = 256;
-/// The time between two attempts to reach a peer.
-const RECONNECT_INTERVAL: Duration = Duration::from_millis(100);
+/// The first time between two attempts to reach a peer; replicas that start together listen within
+/// a few of these.
+const MIN_RECONNECT_INTERVAL: Duration = Duration::from_millis(20);
+/// The longest time between two attempts to reach a peer, to which the first one doubles.
+const MAX_RECONNECT_INTERVAL: Duration = Duration::from_millis(100);
 /// The longest time that opening a stream may take.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 /// The number of connections to keep, members or not.
@@ -82,19 +85,25 @@
 
 /// Sends messages until there is no sender any more, and reconnects when needed.
 async fn keep_sending(client: RpcClient, mut messages: mpsc::Receiver<Envelope>) {
+    let mut interval = MIN_RECONNECT_INTERVAL;
     while !messages.is_closed() {
-        send_on_one_stream(&client, &mut messages).await;
-        tokio::time::sleep(RECONNECT_INTERVAL).await;
+        let was_open = send_on_one_stream(&client, &mut messages).await;
+        if was_open {
+            interval = MIN_RECONNECT_INTERVAL;
+        }
+        tokio::time::sleep(interval).await;
+        interval = (interval * 2).min(MAX_RECONNECT_INTERVAL);
         // What waited meanwhile is out of date.
         while messages.try_recv().is_ok() {}
     }
 }
 
-async fn send_on_one_stream(client: &RpcClient, messages: &mut mpsc::Receiver<Envelope>) {
+/// Sends messages until the stream ends. Returns whether it was open.
+async fn send_on_one_stream(client: &RpcClient, messages: &mut mpsc::Receiver<Envelope>) -> bool {
     let (tx, rx) = mpsc::channel::<Envelope>(QUEUED_MESSAGES);
     let open = client.streaming::<Envelope, NoAnswer, _>(MESSAGES_PATH, ReceiverStream::new(rx));
     let Ok(Ok(mut answers)) = tokio::time::timeout(OPEN_TIMEOUT, open).await else {
-        return;
+        return false;
     };
     loop {
         tokio::select! {
@@ -103,9 +112,9 @@
                     // A full stream drops the message as a network may.
                     let _ = tx.try_send(envelope);
                 }
-                None => return,
+                None => return true,
             },
-            _ = answers.next() => return,
+            _ = answers.next() => return true,
         }
     }
 }
--- a/trefoillock-replica/src/replica.rs
+++ b/trefoillock-replica/src/replica.rs
@@ -15,7 +15,7 @@
 
 use displaydoc::Display;
 use rand_pcg::Pcg64Mcg;
-use trefoillock_core::{LogIndex, ReplicaId, Timestamp};
+use trefoillock_core::{LogIndex, ReplicaId, Term, Timestamp};
 
 use crate::{
     Content, Effect, Entry, HardState, Limits, Membership, Message, Payload, Position, Refusal,
@@ -82,6 +82,8 @@
     log: Log,
     snapshot: Arc<Snapshot>,
     snapshot_wanted: bool,
+    /// The size in bytes of the entries applied since the last snapshot was asked for.
+    replay_bytes: usize,
     incoming: Option<IncomingSnapshot>,
     /// Memberships in the log by index; the first belongs to the snapshot or is older.
     members: Vec<(LogIndex, Membership)>,
@@ -90,6 +92,12 @@
     role: Role,
     leader: Option<ReplicaId>,
     heard_at: Timestamp,
+    /// The term of the leader that was last heard of, or a later one.
+    promised: Term,
+    /// The latest term that this replica led before it started; its lease ended with the process.
+    relinquished: Term,
+    /// The time until which the leader before a restart campaigns without delay.
+    reclaim_until: Timestamp,
     election_at: Timestamp,
     refused: Option<Refusal>,
     ticket: Ticket,
@@ -135,6 +143,9 @@
             role: Role::Follower,
             leader: None,
             heard_at,
+            promised: recovered.hard_state.term,
+            relinquished: recovered.hard_state.led,
+            reclaim_until: now + timing.election_max,
             election_at: now,
             refused: None,
             ticket: Ticket::default(),
@@ -148,6 +159,7 @@
             held: VecDeque::new(),
             effects: Vec::new(),
             snapshot_wanted: false,
+            replay_bytes: 0,
             incoming: None,
             snapshot,
             log,
@@ -184,11 +196,19 @@
             return;
         }
         match message {
-            Message::PreVote { term, last } => self.on_pre_vote(from.id, term, last),
+            Message::PreVote {
+                term,
+                last,
+                relinquished,
+            } => self.on_pre_vote(from.id, term, last, relinquished),
             Message::PreVoteAnswer { term, granted } => {
                 self.on_pre_vote_answer(from.id, term, granted);
             }
-            Message::Vote { term, last } => self.on_vote(from.id, term, last),
+            Message::Vote {
+                term,
+                last,
+                relinquished,
+            } => self.on_vote(from.id, term, last, relinquished),
             Message::VoteAnswer { term, granted } => self.on_vote_answer(from.id, term, granted),
             Message::Append(append) => self.on_append(from.id, append),
             Message::AppendAnswer {
--- a/trefoillock-replica/src/replica/append.rs
+++ b/trefoillock-replica/src/replica/append.rs
@@ -48,6 +48,7 @@
         }
         self.become_follower(term, Some(leader));
         self.heard_at = self.now();
+        self.promised = self.hard_state.term;
         true
     }
 
--- a/trefoillock-replica/src/replica/commit.rs
+++ b/trefoillock-replica/src/replica/commit.rs
@@ -56,6 +56,7 @@
         let next = self.log.from(self.applied.next()).take(count);
         let entries: Vec<Entry> = next.cloned().collect();
         self.applied = end;
+        self.replay_bytes += entries.iter().map(Entry::size).sum::<usize>();
         self.effects.push(Effect::Apply(entries));
         self.want_snapshot();
     }
--- a/trefoillock-replica/src/replica/election.rs
+++ b/trefoillock-replica/src/replica/election.rs
@@ -21,9 +21,13 @@
         self.role = Role::PreCandidate {
             granted: BTreeSet::from([self.identity.id]),
         };
-        let (term, last) = (self.hard_state.term.next(), self.log.last());
+        let message = Message::PreVote {
+            term: self.hard_state.term.next(),
+            last: self.log.last(),
+            relinquished: self.relinquished,
+        };
         for peer in self.others() {
-            self.send(peer, Message::PreVote { term, last });
+            self.send(peer, message.clone());
         }
         self.count_pre_votes();
     }
@@ -36,9 +40,16 @@
         self.is_voter() || self.committed_membership().is_voter(self.identity.id)
     }
 
-    pub(super) fn on_pre_vote(&mut self, from: ReplicaId, term: Term, last: Position) {
-        let granted =
-            term > self.hard_state.term && last >= self.log.last() && !self.leader_is_alive();
+    pub(super) fn on_pre_vote(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        last: Position,
+        relinquished: Term,
+    ) {
+        let granted = term > self.hard_state.term
+            && last >= self.log.last()
+            && !self.keeps_promise(relinquished);
         let term = if granted { term } else { self.hard_state.term };
         self.send(from, Message::PreVoteAnswer { term, granted });
     }
@@ -72,18 +83,28 @@
             granted: BTreeSet::new(),
             own_vote: self.ticket.next(),
         };
-        let (term, last) = (self.hard_state.term, self.log.last());
+        let message = Message::Vote {
+            term: self.hard_state.term,
+            last: self.log.last(),
+            relinquished: self.relinquished,
+        };
         for peer in self.others() {
-            self.send(peer, Message::Vote { term, last });
+            self.send(peer, message.clone());
         }
     }
 
-    pub(super) fn on_vote(&mut self, from: ReplicaId, term: Term, last: Position) {
+    pub(super) fn on_vote(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        last: Position,
+        relinquished: Term,
+    ) {
         let free = match self.hard_state.voted_for {
             None => matches!(self.role, Role::Follower | Role::PreCandidate { .. }),
             Some(candidate) => candidate == from,
         };
-        let current = term == self.hard_state.term && !self.leader_is_alive();
+        let current = term == self.hard_state.term && !self.keeps_promise(relinquished);
         let granted = current && free && last >= self.log.last();
         if granted {
             self.role = Role::Follower;
@@ -134,6 +155,9 @@
         let uncommitted = self.log.from(self.commit.next());
         let uncommitted_bytes = uncommitted.map(Entry::size).sum();
         self.leader = Some(own);
+        self.promised = self.hard_state.term;
+        self.hard_state.led = self.hard_state.term;
+        self.hard_state_changed = true;
         self.role = Role::Leader(Box::new(Leadership {
             progress,
             first_index: next,
--- a/trefoillock-replica/src/replica/role.rs
+++ b/trefoillock-replica/src/replica/role.rs
@@ -13,6 +13,9 @@
     replica::read::PendingRead,
 };
 
+/// The part of a heartbeat after which the leader before a restart campaigns.
+const RECLAIM_DIVISOR: u32 = 2;
+
 #[derive(Debug, Clone)]
 pub(super) enum Role {
     Follower,
@@ -67,7 +70,7 @@
         }
         match message {
             Message::PreVote { .. } | Message::PreVoteAnswer { granted: true, .. } => true,
-            Message::Vote { .. } if self.leader_is_alive() => false,
+            Message::Vote { relinquished, .. } if self.keeps_promise(*relinquished) => false,
             _ => {
                 self.become_follower(term, None);
                 true
@@ -80,6 +83,7 @@
             self.hard_state = HardState {
                 term,
                 voted_for: None,
+                led: self.hard_state.led,
             };
             self.hard_state_changed = true;
         }
@@ -92,14 +96,33 @@
     }
 
     pub(super) fn reset_election(&mut self) {
+        if self.reclaims() {
+            self.election_at = self.now() + self.timing.heartbeat / RECLAIM_DIVISOR;
+            return;
+        }
         let min = self.timing.election_min.as_micros();
         let max = self.timing.election_max.as_micros().max(min + 1);
         let micros = u64::try_from(self.rng.random_range(min..max)).unwrap_or(u64::MAX);
         self.election_at = self.now() + Duration::from_micros(micros);
     }
 
+    /// Whether this replica led until it restarted, so that no other one can hold a lease.
+    fn reclaims(&self) -> bool {
+        let term = self.hard_state.term;
+        term > Term::ZERO && self.relinquished == term && self.now() < self.reclaim_until
+    }
+
+    /// Whether a candidate may get no vote, because a leader may hold a lease.
+    ///
+    /// The leader of a term was elected after all earlier leases had ended. So a candidate that
+    /// led in a term, and lost its own lease in a restart, ends the promises to the leaders up to
+    /// that term.
+    pub(super) fn keeps_promise(&self, relinquished: Term) -> bool {
+        self.promised > relinquished && self.leader_is_alive()
+    }
+
     /// Whether a leader was heard of so lately that it may hold a lease.
-    pub(super) fn leader_is_alive(&self) -> bool {
+    fn leader_is_alive(&self) -> bool {
         let since = match &self.role {
             Role::Leader(leadership) => leadership.contact,
             _ => self.heard_at,
--- a/trefoillock-replica/src/replica/snapshot.rs
+++ b/trefoillock-replica/src/replica/snapshot.rs
@@ -22,11 +22,13 @@
     pub(super) fn want_snapshot(&mut self) {
         let grown = self.applied.get() - self.snapshot.position.index.get();
         let large = self.log.bytes() > self.limits.log_bytes && grown > 0;
-        if self.snapshot_wanted || (grown < self.limits.snapshot_every && !large) {
+        let long = self.replay_bytes > self.limits.outweighs(self.snapshot.data.len());
+        if self.snapshot_wanted || (grown < self.limits.snapshot_every && !large && !long) {
             return;
         }
         if let Some(term) = self.log.term_at(self.applied) {
             self.snapshot_wanted = true;
+            self.replay_bytes = 0;
             let position = Position::new(term, self.applied);
             self.effects.push(Effect::TakeSnapshot { position });
         }
@@ -47,7 +49,9 @@
         let tail = self.limits.tail_entries;
         let keep_after = LogIndex::new(position.index.get().saturating_sub(tail));
         self.log.compact_to(keep_after);
-        while self.log.bytes() > self.limits.tail_bytes && self.log.base().index < position.index {
+        let outweighs = self.limits.outweighs(self.snapshot.data.len());
+        let tail_bytes = self.limits.tail_bytes.min(outweighs);
+        while self.log.bytes() > tail_bytes && self.log.base().index < position.index {
             self.log.compact_to(self.log.base().index.next());
         }
         self.forget_old_members();
--- a/trefoillock-replica/src/snapshot.rs
+++ b/trefoillock-replica/src/snapshot.rs
@@ -26,4 +26,7 @@
     pub term: Term,
     /// The candidate that got the replica's vote in this term.
     pub voted_for: Option<ReplicaId>,
+    /// The latest term in which the replica led; zero if it never did.
+    #[serde(default)]
+    pub led: Term,
 }
--- a/trefoillock-replica/src/timing.rs
+++ b/trefoillock-replica/src/timing.rs
@@ -51,9 +51,14 @@
     pub snapshot_every: u64,
     /// The size in bytes of the log in memory at which a snapshot is taken.
     pub log_bytes: usize,
+    /// The size in bytes of entries applied since the last snapshot from which a new one is taken,
+    /// if it is also above [`Self::REPLAY_FACTOR`] snapshots: a replica that restarts applies no
+    /// more than that before it can lead.
+    pub replay_bytes: usize,
     /// The number of entries before a snapshot that are kept for slow followers.
     pub tail_entries: u64,
-    /// The size in bytes of the entries that are kept for slow followers.
+    /// The largest size in bytes of the entries that are kept for slow followers; fewer are kept
+    /// where the snapshot is smaller than they are.
     pub tail_bytes: usize,
     /// The number of entries that a learner may lack when it becomes a voter.
     pub promote_lag: u64,
@@ -61,6 +66,18 @@
     pub pending_reads: usize,
 }
 
+impl Limits {
+    /// The size of replayed or kept entries, in snapshots, that is worth one more snapshot.
+    pub const REPLAY_FACTOR: usize = 2;
+
+    /// The size in bytes of entries that outweighs a snapshot of a size in bytes.
+    #[must_use]
+    pub fn outweighs(&self, snapshot: usize) -> usize {
+        let factor = snapshot.saturating_mul(Self::REPLAY_FACTOR);
+        self.replay_bytes.max(factor)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -72,6 +89,7 @@
             snapshot_bytes: 256 * 1024 * 1024,
             snapshot_every: 4_096,
             log_bytes: 64 * 1024 * 1024,
+            replay_bytes: 64 * 1024,
             tail_entries: 1_024,
             tail_bytes: 8 * 1024 * 1024,
             promote_lag: 64,
--- a/trefoillock-replica/tests/data_folder.rs
+++ b/trefoillock-replica/tests/data_folder.rs
@@ -31,6 +31,7 @@
     HardState {
         term: Term::new(term),
         voted_for: Some(ID),
+        led: Term::ZERO,
     }
 }
 
--- a/trefoillock-replica/tests/machine.rs
+++ b/trefoillock-replica/tests/machine.rs
@@ -43,6 +43,7 @@
     sent: Vec<(ReplicaId, Message)>,
     writes: Vec<Write>,
     unsynced: Option<Ticket>,
+    snapshot_wanted: Option<Position>,
     sync: bool,
     reads: Vec<Effect>,
 }
@@ -50,13 +51,23 @@
 impl Machine {
     /// Replica 1 of a number of voters, with a log.
     fn new(voters: u64, term: u64, entries: Vec<Entry>, limits: Limits) -> Self {
+        let hard_state = HardState {
+            term: Term::new(term),
+            ..HardState::default()
+        };
+        Self::with(voters, hard_state, entries, limits)
+    }
+
+    /// Replica 1 after a restart.
+    fn restarted(voters: u64, hard_state: HardState, entries: Vec<Entry>) -> Self {
+        Self::with(voters, hard_state, entries, Limits::default())
+    }
+
+    fn with(voters: u64, hard_state: HardState, entries: Vec<Entry>, limits: Limits) -> Self {
         let members: Vec<_> = (1..=voters).map(|n| (id(n), address(n))).collect();
         let recovered = Recovered {
             identity: sender(1),
-            hard_state: HardState {
-                term: Term::new(term),
-                voted_for: None,
-            },
+            hard_state,
             snapshot: Snapshot {
                 members: Membership::of_voters(&members),
                 ..Snapshot::default()
@@ -71,6 +82,7 @@
             sent: Vec::new(),
             writes: Vec::new(),
             unsynced: None,
+            snapshot_wanted: None,
             sync: true,
             reads: Vec::new(),
         }
@@ -93,6 +105,7 @@
                         self.writes.extend(writes);
                         self.unsynced = Some(ticket);
                     }
+                    Effect::TakeSnapshot { position } => self.snapshot_wanted = Some(position),
                     Effect::ReadReady(_) | Effect::ReadFailed(_) => self.reads.push(effect),
                     _ => {}
                 }
@@ -190,6 +203,7 @@
             Message::Vote {
                 term: Term::new(1),
                 last: Position::default(),
+                relinquished: Term::ZERO,
             },
         )
     };
@@ -199,6 +213,7 @@
     let state = HardState {
         term: Term::new(1),
         voted_for: Some(id(2)),
+        ..HardState::default()
     };
     assert_eq!(machine.writes, [Write::HardState(state)]);
     machine.sync = true;
@@ -230,11 +245,13 @@
         Message::Vote {
             term: Term::new(7),
             last: Position::default(),
+            relinquished: Term::ZERO,
         },
     );
     let state = HardState {
         term: Term::new(7),
         voted_for: Some(id(2)),
+        ..HardState::default()
     };
     assert_eq!(machine.writes.last(), Some(&Write::HardState(state)));
 }
@@ -400,6 +417,7 @@
         Message::Vote {
             term: Term::new(99),
             last: position(99, 99),
+            relinquished: Term::ZERO,
         },
     );
     let told = (id(3), Message::Refused(Refusal::Removed));
@@ -450,3 +468,116 @@
     assert_eq!(machine.replica.role(), RoleKind::Learner);
     assert_eq!(machine.replica.term(), Term::new(1));
 }
+
+/// A vote that replica 2 asks for in term 4, and that was led in a term before it restarted.
+fn vote_after(relinquished: u64) -> Message {
+    Message::Vote {
+        term: Term::new(4),
+        last: position(3, 1),
+        relinquished: Term::new(relinquished),
+    }
+}
+
+fn heartbeat(term: u64) -> Message {
+    Message::Append(Append {
+        term: Term::new(term),
+        round: 1,
+        previous: position(3, 1),
+        entries: Vec::new(),
+        commit: LogIndex::ZERO,
+    })
+}
+
+/// Whether a follower of a live leader of term 3 votes for a candidate at once.
+fn votes_for(relinquished: u64) -> bool {
+    let mut machine = Machine::new(5, 3, vec![blank(3, 1)], Limits::default());
+    machine.receive(3, heartbeat(3));
+    machine.sent.clear();
+    machine.receive(2, vote_after(relinquished));
+    let granted = Message::VoteAnswer {
+        term: Term::new(4),
+        granted: true,
+    };
+    machine.sent.contains(&(id(2), granted))
+}
+
+#[test]
+fn a_follower_keeps_its_promise_except_to_a_leader_that_restarted() {
+    assert!(!votes_for(0), "no leader restarted");
+    assert!(!votes_for(2), "the leader of term 3 may hold a lease");
+    assert!(votes_for(3), "the lease of term 3 ended with the process");
+}
+
+#[test]
+fn a_replica_that_restarts_keeps_the_promise_of_its_term() {
+    let mut machine = Machine::new(5, 3, vec![blank(3, 1)], Limits::default());
+    machine.receive(2, vote_after(2));
+    assert_eq!(machine.sent, []);
+    machine.receive(2, vote_after(3));
+    assert_eq!(machine.sent.len(), 1);
+}
+
+#[test]
+fn a_leader_that_restarts_campaigns_within_a_heartbeat() {
+    let hard_state = |led: u64| HardState {
+        term: Term::new(3),
+        voted_for: Some(id(1)),
+        led: Term::new(led),
+    };
+    let heartbeat = Timing::default().heartbeat;
+    let mut restarted = Machine::restarted(5, hard_state(3), vec![blank(3, 1)]);
+    restarted.pass(heartbeat);
+    let asked = Message::PreVote {
+        term: Term::new(4),
+        last: position(3, 1),
+        relinquished: Term::new(3),
+    };
+    assert!(restarted.sent.contains(&(id(5), asked)));
+
+    let mut other = Machine::restarted(5, hard_state(2), vec![blank(3, 1)]);
+    other.pass(heartbeat);
+    assert_eq!(other.sent, []);
+}
+
+#[test]
+fn a_leader_notes_on_disk_that_it_led() {
+    let mut machine = Machine::new(3, 6, Vec::new(), Limits::default());
+    machine.elect(&[2]);
+    let last = machine.writes.iter().rev().find_map(|write| match write {
+        Write::HardState(state) => Some(state.led),
+        _ => None,
+    });
+    assert_eq!(last, Some(Term::new(7)));
+}
+
+#[test]
+fn a_log_that_outweighs_its_snapshot_is_replaced_by_one() {
+    let limits = Limits {
+        replay_bytes: 1_000,
+        ..Limits::default()
+    };
+    let mut machine = Machine::new(1, 0, Vec::new(), limits);
+    machine.elect(&[]);
+    let mut asked_after = Vec::new();
+    for entry in 1..=40 {
+        let command = Payload::from(vec![7; 100]);
+        machine.replica.propose(machine.now, command).expect("led");
+        machine.settle();
+        if let Some(position) = machine.snapshot_wanted.take() {
+            asked_after.push(entry);
+            let state = Payload::from(vec![1; 700]);
+            machine.replica.snapshot_taken(machine.now, position, state);
+            machine.settle();
+        }
+    }
+    // The first one after the floor of 1,000 bytes, later ones after two snapshots of 700.
+    let command = Content::Command(Payload::from(vec![7; 100]));
+    let size = Entry::new(position(1, 1), command).size();
+    // The leader's own entries count too.
+    assert!(
+        (2..=1_000 / size + 1).contains(&asked_after[0]),
+        "{asked_after:?}"
+    );
+    let gaps = asked_after.windows(2).map(|two| two[1] - two[0]);
+    assert!(gaps.eq([1_400 / size + 1; 3]), "{asked_after:?}");
+}
--- a/trefoillock-roles/src/leadership.rs
+++ b/trefoillock-roles/src/leadership.rs
@@ -13,6 +13,9 @@
 
 use crate::{cx::Cx, shared_store::SharedStore};
 
+#[cfg(test)]
+mod tests;
+
 /// The time between two confirmations.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
 /// The longest time that a confirmation may take.
@@ -33,6 +36,26 @@
     }
 }
 
+/// Waits until a lease is given; with one, for ever.
+async fn gain(end: Option<Instant>, lease: &mut watch::Receiver<Option<Instant>>) {
+    if end.is_some() || lease.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
+
+/// Returns the configuration after a barrier, or `None` if the barrier was not passed.
+///
+/// A new leader applies what was committed before it led while it waits at the barrier, so what
+/// was read earlier may be older than what has been acknowledged.
+async fn read_after(
+    barrier: impl Future<Output = bool>,
+    config: &mut watch::Receiver<Arc<Config>>,
+) -> Option<Arc<Config>> {
+    barrier
+        .await
+        .then(|| config.borrow_and_update().clone())
+}
+
 /// Tells the distribution and the moves whether this replica leads.
 pub(crate) struct Publisher {
     cx: Cx,
@@ -52,7 +75,7 @@
         leadership: watch::Sender<Leadership>,
     ) {
         let mut status = self.replica.status();
-        let lease = self.replica.lease();
+        let mut lease = self.replica.lease();
         let mut config = self.store.config();
         let mut tick = tokio::time::interval(CONFIRM_INTERVAL);
         loop {
@@ -60,15 +83,21 @@
             tokio::select! {
                 () = self.cx.finish.cancelled() => return,
                 () = lapse(lease_end) => {}
+                () = gain(lease_end, &mut lease) => {}
                 _ = tick.tick() => {}
                 Ok(()) = status.changed() => {}
                 Ok(()) = config.changed() => {}
                 else => return,
             }
             let now = status.borrow_and_update().clone();
-            let held = config.borrow_and_update().clone();
-            let confirmed = now.role == RoleKind::Leader && self.confirm(&lease).await;
-            self.publish(&now, confirmed, &held, &state, &leadership);
+            let confirmed = if now.role == RoleKind::Leader {
+                read_after(self.confirm(&lease), &mut config).await
+            } else {
+                None
+            };
+            let is_leading = confirmed.is_some();
+            let held = confirmed.unwrap_or_else(|| config.borrow_and_update().clone());
+            self.publish(&now, is_leading, &held, &state, &leadership);
         }
     }
 
