fix(control): send nodes on from replicas that know no leader

Ruled out: the election itself (the other nodes were served at once). Change: a replica without a membership closes at once, one without a leader after 0.3 s; the node's backoff picks the next replica. Tests: new_fleet.rs, a_replica_that_lost_its_disk_keeps_no_node_waiting and ..._asks_another_replica.

--- a/trefoillock-control/src/source_machine.rs
+++ b/trefoillock-control/src/source_machine.rs
@@ -25,7 +25,7 @@
 /// The time after which a node asks again while there is no leader or no place for it.
 const RETRY: Duration = Duration::from_millis(150);
 /// The time for which a node waits at a replica that knows no leader; shorter than
-/// [`ATTACH_TIMEOUT`](crate::timing::ATTACH_TIMEOUT), so that the node hears when to ask again.
+/// [`ATTACH_TIMEOUT`](crate::timing::ATTACH_TIMEOUT), so that the node asks another one soon.
 const WAIT_FOR_LEADER: Duration = Duration::from_millis(300);
 /// The largest number of nodes that wait at one replica.
 const MAX_WAITING: usize = 2_048;
@@ -217,6 +217,11 @@
                 None if hello.is_probe || self.waiting.len() >= MAX_WAITING => {
                     Err(retry_after(RETRY))
                 }
+                // Without a membership this replica hears of a leader later than the others.
+                None if self.replicas.is_empty() => {
+                    self.effects.push(SourceEffect::Close(key));
+                    return;
+                }
                 None => {
                     self.waiting.insert(key, (hello.clone(), now + WAIT_FOR_LEADER));
                     return;
@@ -278,7 +283,8 @@
                 .collect();
             for key in late {
                 self.waiting.remove(&key);
-                self.refuse(key, retry_after(RETRY));
+                // The node asks another replica, which may be on the leader's side of a cut.
+                self.effects.push(SourceEffect::Close(key));
             }
             return;
         }
--- a/trefoillock-control/tests/new_fleet.rs
+++ b/trefoillock-control/tests/new_fleet.rs
@@ -105,6 +105,7 @@
 #[test]
 fn a_node_that_waits_is_sent_to_a_leader_elsewhere() {
     let mut source = source();
+    source.set_state(START, &state(SourceRole::Following { leader: None }));
     source.on_message(START, NODE, &hello(0));
     let leader = Some(SocketAddr::from(([10, 0, 0, 8], 7_000)));
     source.set_state(START, &state(SourceRole::Following { leader }));
@@ -122,25 +123,27 @@
 }
 
 #[test]
-fn a_node_hears_when_to_ask_again_before_it_gives_up() {
+fn a_node_that_waited_in_vain_asks_another_replica() {
     let mut source = source();
+    source.set_state(START, &state(SourceRole::Following { leader: None }));
     source.on_message(START, NODE, &hello(0));
     source.on_tick(START + ATTACH_TIMEOUT / 4);
     assert_eq!(source.take_effects(), []);
     source.on_tick(START + ATTACH_TIMEOUT * 3 / 4);
-    let effects = source.take_effects();
-    assert!(
-        matches!(
-            effects.first(),
-            Some(SourceEffect::Send(NODE, DownMessage::Retry { .. }))
-        ),
-        "{effects:?}"
-    );
+    assert_eq!(source.take_effects(), [SourceEffect::Close(NODE)]);
+}
+
+#[test]
+fn a_replica_that_lost_its_disk_keeps_no_node_waiting() {
+    let mut source = source();
+    source.on_message(START, NODE, &hello(0));
+    assert_eq!(source.take_effects(), [SourceEffect::Close(NODE)]);
 }
 
 #[test]
 fn a_node_that_left_while_it_waited_is_not_taken() {
     let mut source = source();
+    source.set_state(START, &state(SourceRole::Following { leader: None }));
     source.on_message(START, NODE, &hello(0));
     source.on_closed(START, NODE);
     source.set_state(START, &leads());
