perf(policy,caller): count the objective of a call from its caller's first attempt

Ordered by objective, returns took the slots of calls that could still be in time. Change: UsualDeadline learns the time that callers of a route give; what is missing from it has passed.

--- a/trefoillock-caller/src/call.rs
+++ b/trefoillock-caller/src/call.rs
@@ -21,8 +21,8 @@
     pub(crate) id: String,
     /// The backend servers that were chosen so far.
     pub(crate) shared_tried: SharedTried,
-    /// Whether the objective of the route bounds the time in a queue.
-    pub(crate) by_objective: bool,
+    /// The time by which the answer is worth most, if the node serves calls by that.
+    pub(crate) objective: Option<Instant>,
 }
 
 impl Call {
@@ -36,12 +36,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// The time by which the answer is worth most, if the node serves calls by that.
-    pub(crate) fn objective(&self) -> Option<Instant> {
-        let target = Duration::from_millis(u64::from(self.route.target.latency_ms));
-        self.by_objective.then(|| self.arrived + target)
-    }
-
     /// Counts how the call ended.
     pub(crate) fn record(&self, cx: &NodeContext, seen: Seen) {
         cx.recorder().record(&CallRecord {
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -250,7 +250,7 @@
     )
     .request(call.route.class, call.fingerprint)
     .limits(call.deadline, queue)
-    .urgency(call.route.priority, call.objective())
+    .urgency(call.route.priority, call.objective)
 }
 
 /// Whether calls of a class are resumed after their answer was cut.
--- a/trefoillock-caller/src/entry.rs
+++ b/trefoillock-caller/src/entry.rs
@@ -1,8 +1,11 @@
 //! The entry of a call: from the caller to the destination node.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
-use http::{Request, Response, header};
+use http::{HeaderMap, Request, Response, header};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 use trefoillock_backend::{Body, CallFailure, box_body};
@@ -21,7 +24,7 @@
     keyed_posting::{self, KeyedAnswer},
     pool_state::PoolState,
     replay::Replay,
-    request::{deadline, fingerprint, host, idempotency_key},
+    request::{asked_time, deadline, fingerprint, host, idempotency_key},
     resume::resumable,
     route_state::RouteState,
     tried::SharedTried,
@@ -104,6 +107,7 @@
         let route = held.index().find(host(req), req.uri().path(), method);
         let route = route.ok_or_else(|| refuse(RefusalReason::NoRoute))?;
         let (pool, in_move) = self.choose_pool(&held, route)?;
+        let objective = self.objective(route, req.headers(), arrived);
         Ok(Call {
             deadline: deadline(route, req.headers(), arrived),
             route: route.clone(),
@@ -113,10 +117,21 @@
             arrived,
             shared_tried: SharedTried::default(),
             id: self.cx.call_log().id(req.headers()).to_owned(),
-            by_objective: self.cx.calls().by_objective,
+            objective,
         })
     }
 
+    /// The time by which the answer is worth most, counted from the caller's first attempt.
+    fn objective(&self, route: &Route, map: &HeaderMap, arrived: Instant) -> Option<Instant> {
+        if !self.cx.calls().by_objective {
+            return None;
+        }
+        let target = Duration::from_millis(u64::from(route.target.latency_ms));
+        let asked = asked_time(map);
+        let elapsed = asked.map(|asked| self.route(&route.name).time_before(asked));
+        (arrived + target).checked_sub(elapsed.unwrap_or_default())
+    }
+
     /// Chooses the pool of a call by the shares of the route's move.
     fn choose_pool(
         &self,
--- a/trefoillock-caller/src/request.rs
+++ b/trefoillock-caller/src/request.rs
@@ -23,14 +23,16 @@
     }
 }
 
+/// The time that the caller says it waits, if it says so.
+pub(crate) fn asked_time(map: &HeaderMap) -> Option<Duration> {
+    let text = map.get(headers::DEADLINE_MS)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_millis)
+}
+
 /// The time by which a call must have ended: the route's timeout, or the caller's deadline if
 /// that is earlier.
 pub(crate) fn deadline(route: &Route, map: &HeaderMap, arrived: Instant) -> Instant {
-    let asked = map
-        .get(headers::DEADLINE_MS)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.parse::<u64>().ok())
-        .map(Duration::from_millis);
+    let asked = asked_time(map);
     let span = asked.map_or(route.timeout(), |asked| asked.min(route.timeout()));
     arrived + span
 }
--- a/trefoillock-caller/src/route_state.rs
+++ b/trefoillock-caller/src/route_state.rs
@@ -6,12 +6,13 @@
 };
 
 use trefoillock_core::{RouteClass, Timestamp};
-use trefoillock_policy::Hedge;
+use trefoillock_policy::{Hedge, UsualDeadline};
 
-/// The hedges of one route.
+/// The hedges of one route and the patience of its callers.
 #[derive(Debug, Default)]
 pub(crate) struct RouteState {
     hedge: Mutex<Hedge>,
+    usual: Mutex<UsualDeadline>,
 }
 
 impl RouteState {
@@ -30,6 +31,13 @@
         self.hedge().withdraw()
     }
 
+    /// Counts a call, and returns how long its caller has most likely tried before.
+    pub(crate) fn time_before(&self, asked: Duration) -> Duration {
+        let mut usual = self.usual.lock().unwrap_or_else(PoisonError::into_inner);
+        usual.record(asked);
+        usual.elapsed(asked)
+    }
+
     fn hedge(&self) -> MutexGuard<'_, Hedge> {
         self.hedge.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/trefoillock-control/src/source_machine.rs
+++ b/trefoillock-control/src/source_machine.rs
@@ -223,7 +223,8 @@
                     return;
                 }
                 None => {
-                    self.waiting.insert(key, (hello.clone(), now + WAIT_FOR_LEADER));
+                    self.waiting
+                        .insert(key, (hello.clone(), now + WAIT_FOR_LEADER));
                     return;
                 }
             },
--- a/trefoillock-control/tests/new_fleet.rs
+++ b/trefoillock-control/tests/new_fleet.rs
@@ -5,8 +5,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use trefoillock_control::{
-    ChildKey, ChildState, DownMessage, Hello, NodeRecord, Repair, Report, SourceEffect, SourceMachine,
-    SourceRole, SourceState, UpMessage,
+    ChildKey, ChildState, DownMessage, Hello, NodeRecord, Repair, Report, SourceEffect,
+    SourceMachine, SourceRole, SourceState, UpMessage,
     timing::{ATTACH_TIMEOUT, LEADER_GRACE},
 };
 use trefoillock_core::{Config, Incarnation, Term, Timestamp};
--- a/trefoillock-node/src/headers.rs
+++ b/trefoillock-node/src/headers.rs
@@ -15,13 +15,13 @@
 pub(crate) const FINGERPRINT: &str = "trefoillock-fingerprint";
 /// The longest time that a call waits for a slot, in milliseconds, between nodes.
 pub(crate) const QUEUE_MS: &str = "trefoillock-queue-ms";
-/// Set on a failure if the process of the backend server is gone, between nodes.
-/// The rank of the call.
+/// The rank of the call, between nodes.
 pub(crate) const RANK: &str = "trefoillock-rank";
-/// The time within which the answer is worth most, in milliseconds.
+/// The time within which the answer is worth most, in milliseconds, between nodes.
 pub(crate) const OBJECTIVE_MS: &str = "trefoillock-objective-ms";
 /// The time after which a refused call may find room, in milliseconds.
 pub(crate) const PAUSE_MS: &str = "trefoillock-pause-ms";
+/// Set on a failure if the process of the backend server is gone, between nodes.
 pub(crate) const CRASHED: &str = "trefoillock-crashed";
 
 /// The load of the backend server, on answers between nodes.
--- a/trefoillock-policy/src/admission.rs
+++ b/trefoillock-policy/src/admission.rs
@@ -353,12 +353,12 @@
         class != RouteClass::Export || exports() < self.export_limit(now)
     }
 
-    /// The number of exports that may run at once.
-    /// Whether a call may start; exports that have an objective are bound by that alone.
+    /// Whether a call may start.
     fn may_start(&self, now: Timestamp, demand: &Demand) -> bool {
         self.has_slot(now, demand.lane().class())
     }
 
+    /// The number of exports that may run at once.
     fn export_limit(&self, now: Timestamp) -> u32 {
         let others = self
             .others_offered_at
@@ -395,6 +395,7 @@
             Some(objective) => self.patience_for(now, demand.kind(), objective),
             None => self.patience(demand.class),
         };
+        let demand = self.without_missed_objective(now, demand);
         let is_hopeless = demand.objective.is_some() && self.expected_wait(&demand) > patience;
         if patience.is_zero() || is_hopeless || !self.make_room_for(lane) {
             return Offer::Refused(RefusalReason::Overloaded);
@@ -411,6 +412,19 @@
         Offer::Queued
     }
 
+    /// Puts a call that misses its objective even if it runs at once behind those that can still
+    /// meet theirs.
+    fn without_missed_objective(&self, now: Timestamp, demand: Demand) -> Demand {
+        let usual = self.service_of(demand.kind()).usual();
+        match demand.objective {
+            Some(objective) if objective < now + usual => Demand {
+                objective: Some(demand.deadline.max(objective)),
+                ..demand
+            },
+            Some(_) | None => demand,
+        }
+    }
+
     /// How long a call may wait and still be answered by its objective.
     fn patience_for(&self, now: Timestamp, kind: Lane, objective: Timestamp) -> Duration {
         let left = objective.since(now);
--- a/trefoillock-policy/src/lib.rs
+++ b/trefoillock-policy/src/lib.rs
@@ -33,6 +33,7 @@
 mod retry_decision;
 mod server_load;
 mod service_time;
+mod usual_deadline;
 mod wait_queue;
 
 pub use admission::{Admission, Offer, Refused, Ticket};
@@ -51,3 +52,4 @@
 pub use quarantine::Quarantine;
 pub use retry_budget::RetryBudget;
 pub use retry_decision::{Attempt, GiveUp, RetryDecision, SentState, retry_decision};
+pub use usual_deadline::UsualDeadline;
--- a/trefoillock-roles/src/leadership.rs
+++ b/trefoillock-roles/src/leadership.rs
@@ -51,9 +51,7 @@
     barrier: impl Future<Output = bool>,
     config: &mut watch::Receiver<Arc<Config>>,
 ) -> Option<Arc<Config>> {
-    barrier
-        .await
-        .then(|| config.borrow_and_update().clone())
+    barrier.await.then(|| config.borrow_and_update().clone())
 }
 
 /// Tells the distribution and the moves whether this replica leads.
--- a/trefoillock-store/tests/encoding.rs
+++ b/trefoillock-store/tests/encoding.rs
@@ -9,10 +9,7 @@
 
 /// A name without a pattern, like those of generated routes.
 fn name(number: u64) -> String {
-    format!(
-        "r-{:07x}",
-        number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 36
-    )
+    format!("r-{:07x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 36)
 }
 
 fn document() -> Command {
