feat(process,trefoilctl,node): explain a request by the logs of all processes

Cause: an engineer with an attempt id had the entry's line only: not what the node beside the backend server decided, nor which version answered; and log lines were written where they arose, so a stalled reader stopped the process. Change: lines 1803 to 1805 (answered, refused with slots and queue, broken) with budgets of their own; a thread writes the log behind a bounded queue and tells how many lines were left out (1006); `trefoilctl explain ID` prints the way of one request, what each process believed and the likely cause. 1001 named the process over the event's own name; its field is now `process`. Tests: platform/tests/processes/explain.rs replays the three walks of docs/OPERATIONS.md over real processes; queued_output/tests.rs holds a reader that stalls or goes.

--- a/trefoilctl/src/args.rs
+++ b/trefoilctl/src/args.rs
@@ -30,6 +30,7 @@
   cancel ID                  take a move back
   status                     which node is at which version, and the control replicas
   burn                       service-level burn by route and class
+  explain ID [FILE...]       the way of one request through JSON logs (default or -: standard input)
   replicas add ID ADDRESS | promote ID | remove ID
 
 OPTIONS:
@@ -108,6 +109,10 @@
     Status,
     Burn,
     Replicas(ReplicaChange),
+    Explain {
+        id: String,
+        files: Vec<PathBuf>,
+    },
 }
 
 /// What the command line asks for.
@@ -139,6 +144,13 @@
         let options = parse_options(&mut args)?;
         let command = parse_command(&mut args)?;
         let rest = args.finish();
+        let command = match command {
+            Command::Explain { id, .. } => {
+                let files = rest.into_iter().map(PathBuf::from).collect();
+                return Ok(Self::Run(options, Command::Explain { id, files }));
+            }
+            other => other,
+        };
         if !rest.is_empty() {
             return Err(ArgsError::Unexpected(rest));
         }
@@ -182,6 +194,10 @@
         "cancel" => Command::Cancel {
             id: MoveId::new(args.free_from_str()?),
         },
+        "explain" => Command::Explain {
+            id: args.free_from_str()?,
+            files: Vec::new(),
+        },
         "status" => Command::Status,
         "burn" => Command::Burn,
         "replicas" => Command::Replicas(parse_replicas(args)?),
--- a/trefoilctl/src/commands.rs
+++ b/trefoilctl/src/commands.rs
@@ -1,6 +1,11 @@
 //! The commands.
 
-use std::{fs, path::Path, time::Duration};
+use std::{
+    fs,
+    io::{self, BufReader},
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use serde::Serialize;
 use serde_json::Value;
@@ -8,7 +13,7 @@
 use trefoillock_operator::{
     ApiErrorKind, CheckReport, ClientError, EditReport, EditRequest, OperatorClient,
 };
-use trefoillock_process::read_secret;
+use trefoillock_process::{LogLines, read_secret};
 use trefoillock_rpc::Token;
 use trefoillock_store::CancelAnswer;
 
@@ -18,6 +23,8 @@
     render, watch,
 };
 
+/// The name of standard input among files.
+const STANDARD_INPUT: &str = "-";
 /// The pause between two looks at the moves.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
 
@@ -83,6 +90,7 @@
                 CancelAnswer::AlreadyEnded | CancelAnswer::Unknown => Exit::Refused,
             })
         }
+        Command::Explain { id, files } => explain(&id, &files, json),
         Command::Status => print(json, &client.status().await?, render::status),
         Command::Burn => print(json, &client.burn().await?, render::burn),
         Command::Replicas(change) => print(
@@ -93,6 +101,33 @@
     }
 }
 
+/// Explains a request by JSON logs.
+fn explain(id: &str, files: &[PathBuf], json: bool) -> Outcome {
+    let failure = |file: &Path, error: io::Error| {
+        Failure(Exit::Usage, format!("{}: {error}", file.display()))
+    };
+    let standard_input = [PathBuf::from(STANDARD_INPUT)];
+    let files = if files.is_empty() {
+        &standard_input
+    } else {
+        files
+    };
+    let mut lines = LogLines::default();
+    for file in files {
+        let name = file.file_stem().unwrap_or_default().to_string_lossy();
+        let read = if file == Path::new(STANDARD_INPUT) {
+            lines.read(&name, io::stdin().lock())
+        } else {
+            fs::File::open(file).and_then(|log| lines.read(&name, BufReader::new(log)))
+        };
+        read.map_err(|error| failure(file, error))?;
+    }
+    let explanation = lines
+        .explain(id)
+        .ok_or_else(|| Failure(Exit::Different, format!("no line names the request {id:?}")))?;
+    print(json, &explanation, ToString::to_string)
+}
+
 /// Prints a report as JSON or as text.
 fn print<T: Serialize>(json: bool, report: &T, render: impl Fn(&T) -> String) -> Outcome {
     if json {
--- a/trefoillock-caller/src/answer.rs
+++ b/trefoillock-caller/src/answer.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use trefoillock_backend::{Body, CallFailure, Crash, DeadlineBody, Execution, NotSent};
 use trefoillock_core::{Outcome, RefusalReason, headers};
-use trefoillock_node::{NodeContext, Seen, refusal_answer, strip_internal};
+use trefoillock_node::{CallLine, NodeContext, Seen, refusal_answer, strip_internal};
 
 use crate::{call::Call, recorded_body::RecordedBody};
 
@@ -23,6 +23,7 @@
 ) -> Response<Body> {
     strip_internal(resp.headers_mut());
     tell_answered(&mut resp);
+    log_answer(cx, call, &resp);
     let server_error = resp.status().is_server_error();
     let (cx, call) = (cx.clone(), call.clone());
     resp.map(|body| {
@@ -66,39 +67,60 @@
 
 /// Writes a line about a call that no backend server answered.
 fn log_failure(cx: &NodeContext, call: &Call, failure: &CallFailure) {
-    let config = cx
-        .view()
-        .config()
-        .map_or(0, |config| config.version().get());
-    let members = cx.view().members().version;
-    let members = format!("{}.{}", members.term, members.sequence);
-    let elapsed = call.arrived.elapsed().as_millis();
-    let tried = call.tried();
-    let fields: [(&str, &dyn std::fmt::Display); 9] = [
-        ("request", &call.id),
-        ("route", &call.route.name),
-        ("outcome", &failure.outcome().as_str()),
-        ("reason", &failure.reason().as_str()),
-        ("server", &tried.last()),
-        ("attempts", &tried.count()),
-        ("millis", &elapsed),
-        ("config", &config),
-        ("members", &members),
-    ];
-    cx.call_log().failed(cx.clock().now(), &fields);
+    cx.call_log().write(cx.clock().now(), CallLine::Failed, || {
+        let members = cx.view().members().version;
+        let tried = call.tried();
+        vec![
+            ("request", call.id.clone()),
+            ("route", call.route.name.to_string()),
+            ("outcome", failure.outcome().as_str().to_owned()),
+            ("reason", failure.reason().as_str().to_owned()),
+            ("server", tried.last()),
+            ("attempts", tried.count().to_string()),
+            ("millis", call.arrived.elapsed().as_millis().to_string()),
+            ("config", config_version(cx)),
+            ("members", format!("{}.{}", members.term, members.sequence)),
+        ]
+    });
+}
+
+/// Writes a line about a call that a backend server answered.
+fn log_answer(cx: &NodeContext, call: &Call, resp: &Response<Body>) {
+    let is_error = resp.status().is_server_error();
+    let line = CallLine::Answered { is_error };
+    cx.call_log().write(cx.clock().now(), line, || {
+        let tried = call.tried();
+        let members = cx.view().members();
+        let member = tried.server().and_then(|id| members.servers.get(id));
+        let version = member.map(|member| member.announcement.version.to_string());
+        vec![
+            ("request", call.id.clone()),
+            ("route", call.route.name.to_string()),
+            ("server", tried.last()),
+            ("version", version.unwrap_or_else(|| "-".to_owned())),
+            ("status", resp.status().as_u16().to_string()),
+            ("attempts", tried.count().to_string()),
+            ("millis", call.arrived.elapsed().as_millis().to_string()),
+            ("config", config_version(cx)),
+        ]
+    });
 }
 
 /// Writes a line about a call that has no route or found no configuration.
 pub(crate) fn log_unrouted<B>(cx: &NodeContext, req: &Request<B>, failure: &CallFailure) {
-    let config = cx
-        .view()
-        .config()
-        .map_or(0, |config| config.version().get());
-    let fields: [(&str, &dyn std::fmt::Display); 4] = [
-        ("request", &cx.call_log().id(req.headers())),
-        ("outcome", &failure.outcome().as_str()),
-        ("reason", &failure.reason().as_str()),
-        ("config", &config),
-    ];
-    cx.call_log().failed(cx.clock().now(), &fields);
+    cx.call_log().write(cx.clock().now(), CallLine::Failed, || {
+        vec![
+            ("request", cx.call_log().id(req.headers()).to_owned()),
+            ("outcome", failure.outcome().as_str().to_owned()),
+            ("reason", failure.reason().as_str().to_owned()),
+            ("config", config_version(cx)),
+        ]
+    });
+}
+
+/// The version of the configuration that this node serves; zero for none.
+fn config_version(cx: &NodeContext) -> String {
+    let config = cx.view().config();
+    let version = config.map_or(0, |config| config.version().get());
+    version.to_string()
 }
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 use trefoillock_backend::{Body, CallFailure, Crash, Execution};
 use trefoillock_core::{CrashReport, Member, RefusalReason, RouteClass, ServerId, Timestamp};
-use trefoillock_node::{Delivery, NodeContext, draw};
+use trefoillock_node::{CallLine, Delivery, NodeContext, draw};
 use trefoillock_policy::{Attempt, LoadHint, RetryDecision, SentState};
 
 use crate::{
@@ -184,17 +184,20 @@
     }
 
     fn log_retry(&self, now: Timestamp, failure: &CallFailure) {
-        let tried = self.call.tried();
-        let elapsed = self.call.arrived.elapsed().as_millis();
-        let fields: [(&str, &dyn std::fmt::Display); 6] = [
-            ("request", &self.call.id),
-            ("route", &self.call.route.name),
-            ("server", &tried.last()),
-            ("reason", &failure.reason().as_str()),
-            ("attempts", &tried.count()),
-            ("millis", &elapsed),
-        ];
-        self.cx.call_log().retried(now, &fields);
+        self.cx.call_log().write(now, CallLine::Retried, || {
+            let tried = self.call.tried();
+            vec![
+                ("request", self.call.id.clone()),
+                ("route", self.call.route.name.to_string()),
+                ("server", tried.last()),
+                ("reason", failure.reason().as_str().to_owned()),
+                ("attempts", tried.count().to_string()),
+                (
+                    "millis",
+                    self.call.arrived.elapsed().as_millis().to_string(),
+                ),
+            ]
+        });
     }
 
     /// Whether the call was found to crash backend servers since it was admitted.
--- a/trefoillock-caller/src/tried.rs
+++ b/trefoillock-caller/src/tried.rs
@@ -16,6 +16,11 @@
         self.count
     }
 
+    /// The last backend server.
+    pub(crate) const fn server(&self) -> Option<&ServerId> {
+        self.last.as_ref()
+    }
+
     /// The last backend server, or `-`.
     pub(crate) fn last(&self) -> String {
         let last = self.last.as_ref();
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -6,12 +6,12 @@
 use http_body_util::BodyExt;
 use tokio::time::Instant;
 use trefoillock_backend::{
-    Body, CallFailure, CallLimits, Crash, DeadlineBody, LocalServer, NotSent,
+    Body, CallFailure, CallLimits, Crash, DeadlineBody, Execution, LocalServer, NotSent,
 };
 use trefoillock_core::{CrashReport, RefusalReason, RouteClass, ServerId};
 
 use crate::{
-    Delivery, NodeContext, detached_body::detach, headers::header_text, strip_hop_by_hop,
+    CallLine, Delivery, NodeContext, detached_body::detach, headers::header_text, strip_hop_by_hop,
     strip_internal, watched_body::WatchedBody,
 };
 
@@ -28,16 +28,20 @@
     delivery: Delivery,
     mut req: Request<Body>,
 ) -> Result<Response<Body>, CallFailure> {
-    let server = find(cx, &delivery)?;
+    let id = cx.call_log().id(req.headers()).to_owned();
+    let arrived = Instant::now();
+    let server = find(cx, &delivery).inspect_err(|failure| {
+        log_failure(cx, &id, &delivery, failure, None, arrived);
+    })?;
     strip_hop_by_hop(req.headers_mut());
     strip_internal(req.headers_mut());
     req.headers_mut().remove(header::EXPECT);
     *req.version_mut() = http::Version::HTTP_11;
     if delivery.class != RouteClass::Posting || !cx.calls().detached_postings {
-        return exchange(cx.clone(), server, delivery, req).await;
+        return exchange(cx.clone(), server, id, delivery, req).await;
     }
     let tasks = cx.tasks().clone();
-    let running = tasks.spawn(exchange(cx.clone(), server, delivery, req));
+    let running = tasks.spawn(exchange(cx.clone(), server, id, delivery, req));
     let Ok(result) = running.await else {
         return Err(CallFailure::may_have_run(RefusalReason::ConnectionLost));
     };
@@ -65,6 +69,7 @@
 async fn exchange(
     cx: Arc<NodeContext>,
     server: Arc<LocalServer>,
+    id: String,
     delivery: Delivery,
     req: Request<Body>,
 ) -> Result<Response<Body>, CallFailure> {
@@ -83,6 +88,7 @@
         },
         incarnation: server.announcement().incarnation,
     };
+    let arrived = Instant::now();
     match server.call(req, limits).await {
         Ok(mut resp) => {
             strip_hop_by_hop(resp.headers_mut());
@@ -95,6 +101,7 @@
             }))
         }
         Err(failure) => {
+            log_failure(&cx, &id, &delivery, &failure, Some(&server), arrived);
             if failure.crash() == Crash::Yes {
                 cx.recorder().record_crash(report);
             } else if failure.reason() == RefusalReason::ConnectionLost {
@@ -105,6 +112,42 @@
     }
 }
 
+/// Writes a line about a call that the backend server beside this node did not answer, with what
+/// decided it.
+fn log_failure(
+    cx: &NodeContext,
+    id: &str,
+    delivery: &Delivery,
+    failure: &CallFailure,
+    server: Option<&Arc<LocalServer>>,
+    arrived: Instant,
+) {
+    let line = match failure.execution() {
+        Execution::DidNotRun(_) => CallLine::Refused,
+        Execution::Unknown => CallLine::Broken,
+    };
+    cx.call_log().write(cx.clock().now(), line, || {
+        let mut fields = vec![
+            ("request", id.to_owned()),
+            ("server", format!("{}@{}", cx.node(), delivery.address)),
+            ("reason", failure.reason().as_str().to_owned()),
+            ("millis", arrived.elapsed().as_millis().to_string()),
+        ];
+        if let Some(server) = server.filter(|_| line == CallLine::Refused) {
+            let load = server.hint();
+            let pause = failure.pause().unwrap_or_default();
+            fields.extend([
+                ("rank", delivery.rank.to_string()),
+                ("running", load.running.to_string()),
+                ("queued", load.queued.to_string()),
+                ("slots", load.slots.to_string()),
+                ("pause", format!("{}ms", pause.as_millis())),
+            ]);
+        }
+        fields
+    });
+}
+
 /// Finds out in the background whether a backend server that cut an answer has crashed.
 fn watch_crash(cx: Arc<NodeContext>, server: Arc<LocalServer>, report: CrashReport) {
     let tasks = cx.tasks().clone();
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -31,7 +31,7 @@
 mod view;
 mod watched_body;
 
-pub use call_log::CallLog;
+pub use call_log::{CallFields, CallLine, CallLog};
 pub use context::NodeContext;
 pub use delivery::Delivery;
 pub use detached_body::detach;
--- a/trefoillock-policy/src/usual_deadline.rs
+++ b/trefoillock-policy/src/usual_deadline.rs
@@ -56,7 +56,7 @@
         if time >= usual * (100 - TOLERANCE_PERCENT) / 100 {
             Duration::ZERO
         } else {
-            usual - time
+            usual.saturating_sub(time)
         }
     }
 
--- a/trefoillock-policy/tests/returns.rs
+++ b/trefoillock-policy/tests/returns.rs
@@ -50,7 +50,7 @@
     let mut admission = Admission::new(SLOTS, 2 * SLOTS, Duration::from_millis(100));
     let mut usual = UsualDeadline::default();
     let mut tally = Tally::default();
-    let mut tries: BTreeMap<Ticket, Try> = BTreeMap::new();
+    let mut waiting: BTreeMap<Ticket, Try> = BTreeMap::new();
     let mut events = BinaryHeap::from([Reverse((START, Event::Arrive))]);
     let mut number = 0;
     loop {
@@ -83,7 +83,7 @@
                     ..before
                 }),
                 Event::End(ticket) => {
-                    let tried = tries.remove(&ticket).expect("a running call");
+                    let tried = waiting.remove(&ticket).expect("a running call");
                     if now.since(tried.first) <= OBJECTIVE {
                         tally.in_time += 1.0;
                     } else {
@@ -100,7 +100,7 @@
                 let objective = now + OBJECTIVE - usual.elapsed(left);
                 let ticket = Ticket::new(number);
                 number += 1;
-                tries.insert(ticket, offered);
+                waiting.insert(ticket, offered);
                 let demand = Demand::new(RouteClass::Lookup, now + left).objective(objective);
                 match admission.offer(now, ticket, demand) {
                     Offer::Admitted => admitted.push(ticket),
@@ -115,7 +115,7 @@
         }
         refused.extend(admission.expire(now).iter().map(|refused| refused.ticket));
         for ticket in refused {
-            let tried = tries.remove(&ticket).expect("an offered call");
+            let tried = waiting.remove(&ticket).expect("an offered call");
             tally.longest_refusal = tally.longest_refusal.max(now.since(tried.last));
             if tried.first == tried.last {
                 let limit = tried.deadline.since(now) / 3;
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -61,7 +61,7 @@
 }
 
 events! {
-    /// The process has started; fields: name, roles, version.
+    /// The process has started; fields: process, version.
     ProcessStarted = 1001, "process-started", Info;
     /// A stop signal came; calls in flight end, no new ones are taken.
     StopRequested = 1002, "stop-requested", Info;
@@ -71,6 +71,8 @@
     ListenerFailed = 1004, "listener-failed", Error;
     /// The time for the stop is over; the calls that are still in flight are cut.
     CallsCut = 1005, "calls-cut", Warn;
+    /// Log lines were left out because their reader was too slow; fields: count.
+    LinesLeftOut = 1006, "lines-left-out", Warn;
     /// The node took a newer configuration; fields: version, routes, pools.
     ConfigTaken = 1101, "config-taken", Info;
     /// A backend server announced itself or changed; fields: address, service, version, state.
@@ -118,4 +120,13 @@
     /// A call ended without an answer of a backend server; fields: request, route, outcome,
     /// reason, server, attempts, millis, config, members, omitted.
     CallFailed = 1802, "call-failed", Warn;
+    /// A call was answered by a backend server; fields: request, route, server, version, status,
+    /// attempts, millis, config, omitted. Answers of server errors go before others.
+    CallAnswered = 1803, "call-answered", Info;
+    /// The node beside a backend server refused a call, which has not run; fields: request,
+    /// server, reason, millis, rank, running, queued, slots, pause, omitted.
+    CallRefused = 1804, "call-refused", Warn;
+    /// A call was sent to the backend server beside the node and not answered in full; fields:
+    /// request, server, reason, millis, omitted.
+    CallBroken = 1805, "call-broken", Warn;
 }
--- a/trefoillock-process/src/lib.rs
+++ b/trefoillock-process/src/lib.rs
@@ -7,8 +7,10 @@
 mod call_settings;
 mod clock;
 mod event;
+mod explanation;
 mod line_budget;
 mod logging;
+mod queued_output;
 mod raw_settings;
 mod secret;
 mod settings;
@@ -18,8 +20,10 @@
 pub use call_settings::CallSettings;
 pub use clock::Clock;
 pub use event::{Event, LogLevel};
+pub use explanation::{Explanation, LogLines};
 pub use line_budget::LineBudget;
 pub use logging::{LogError, LogFormat, LogTarget, log_event, start_logging};
+pub use queued_output::LogFlush;
 pub use secret::read_secret;
 pub use settings::{
     ControlSettings, Founding, LogSettings, NodeSettings, ReplicaAddress, Settings, SettingsError,
--- a/trefoillock-process/src/logging.rs
+++ b/trefoillock-process/src/logging.rs
@@ -8,7 +8,7 @@
 use simplelog::{ConfigBuilder, WriteLogger};
 use trefoillock_core::{Timestamp, data};
 
-use crate::Event;
+use crate::{Clock, Event, LogFlush, queued_output::QueuedOutput};
 
 /// the log cannot be started: {0}
 #[derive(Debug, Display)]
@@ -37,12 +37,29 @@
     Stderr,
 }
 
-/// Starts to write the log.
+/// Starts to write the log. Nothing waits for its reader; lines that it does not take are counted.
 ///
 /// # Errors
 ///
-/// Returns an error if the process already has a log.
-pub fn start_logging(level: LevelFilter, target: LogTarget) -> Result<(), LogError> {
+/// Returns an error if the process already has a log or its thread cannot be started.
+pub fn start_logging(
+    level: LevelFilter,
+    target: LogTarget,
+    format: LogFormat,
+) -> Result<LogFlush, LogError> {
+    let clock = Clock::start();
+    let notice = move |count: u64| {
+        let line = match format {
+            LogFormat::Text => text_line,
+            LogFormat::Json => json_line,
+        };
+        line(clock.now(), Event::LinesLeftOut, &[("count", &count)])
+    };
+    let started = match target {
+        LogTarget::Stdout => QueuedOutput::start(std::io::stdout(), notice),
+        LogTarget::Stderr => QueuedOutput::start(std::io::stderr(), notice),
+    };
+    let (output, flush) = started.map_err(|error| LogError(error.to_string()))?;
     let config = ConfigBuilder::new()
         .set_time_level(LevelFilter::Off)
         .set_level_padding(simplelog::LevelPadding::Off)
@@ -52,11 +69,10 @@
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("trefoillock")
         .build();
-    let started = match target {
-        LogTarget::Stdout => WriteLogger::init(level, config, std::io::stdout()),
-        LogTarget::Stderr => WriteLogger::init(level, config, std::io::stderr()),
-    };
-    started.map_err(|error| LogError(error.to_string()))
+    match WriteLogger::init(level, config, output) {
+        Ok(()) => Ok(flush),
+        Err(error) => Err(LogError(error.to_string())),
+    }
 }
 
 /// Logs an event with named fields.
--- a/trefoillock-roles/src/daemon.rs
+++ b/trefoillock-roles/src/daemon.rs
@@ -87,7 +87,7 @@
         let (name, version) = (&cx.settings.name, env!("CARGO_PKG_VERSION"));
         events.write(
             Event::ProcessStarted,
-            &[("name", name), ("version", &version)],
+            &[("process", name), ("version", &version)],
         );
         Ok(Self { cx, node, control })
     }
--- a/trefoillock-roles/src/leadership.rs
+++ b/trefoillock-roles/src/leadership.rs
@@ -39,7 +39,7 @@
 /// Waits until a lease is given; with one, for ever.
 async fn gain(end: Option<Instant>, lease: &mut watch::Receiver<Option<Instant>>) {
     if end.is_some() || lease.changed().await.is_err() {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
--- a/trefoillockd/src/main.rs
+++ b/trefoillockd/src/main.rs
@@ -1,6 +1,6 @@
 //! The daemon of trefoillock.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use pico_args::Arguments;
 use tokio_util::sync::CancellationToken;
@@ -13,6 +13,9 @@
 /// The exit code for a failure while running.
 const EXIT_FAILED: u8 = 1;
 
+/// The longest time for which a process that ends waits for the reader of its log.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+
 const HELP: &str = "\
 trefoillockd - the daemon of trefoillock
 
@@ -100,9 +103,10 @@
 }
 
 fn serve(settings: Settings) -> ExitCode {
-    if let Err(error) = start_logging(settings.log.level, LogTarget::Stderr) {
-        return malformed(&error.to_string());
-    }
+    let flush = match start_logging(settings.log.level, LogTarget::Stderr, settings.log.format) {
+        Ok(flush) => flush,
+        Err(error) => return malformed(&error.to_string()),
+    };
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -119,6 +123,7 @@
         let daemon = Daemon::start(settings, stop).await?;
         daemon.stopped().await
     });
+    flush.wait(FLUSH_LIMIT);
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
