test(replica): leases while followers restart, and leaders that restart

Cause: breaking the new rule on purpose (each restarted replica claims to have led) passed the fault matrix and the exploration; only a unit test noticed. No play let followers restart beside an isolated leader within its lease.

--- a/trefoillock-replica/tests/fault_matrix.rs
+++ b/trefoillock-replica/tests/fault_matrix.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use simulation::{Fault, STEPS, Simulation, Trap};
+use trefoillock_replica::Timing;
 
 /// The number of seeds of random faults in each test.
 const SEEDS: u64 = 100;
@@ -224,3 +225,40 @@
     assert_eq!(simulation.term(new), term);
     simulation.finish();
 }
+
+/// The followers restart while the leader, which they do not hear any more, holds its lease.
+#[test]
+fn a_lease_holds_while_followers_restart() {
+    for seed in 0..40 {
+        let mut simulation = Simulation::new(seed, if seed % 2 == 0 { 3 } else { 5 });
+        simulation.run(Duration::from_secs(3));
+        let leader = simulation.leader().expect("a leader");
+        simulation.strike(leader, Fault::Isolate);
+        for id in simulation.ids().into_iter().filter(|id| *id != leader) {
+            simulation.strike(id, Fault::Crash);
+            simulation.restart(id);
+        }
+        // Longer than a lease; the invariants are checked after each event.
+        simulation.run(Duration::from_secs(2));
+        assert_ne!(simulation.leader(), Some(leader), "seed {seed}");
+        simulation.heal_network();
+        simulation.finish();
+    }
+}
+
+/// A leader that restarts leads again before an election by its followers is due.
+#[test]
+fn a_leader_that_restarts_leads_again_before_others_campaign() {
+    for seed in 0..40 {
+        let mut simulation = Simulation::new(seed, if seed % 2 == 0 { 3 } else { 5 });
+        simulation.run(Duration::from_secs(6));
+        let leader = simulation.leader().expect("a leader");
+        for id in simulation.ids() {
+            simulation.strike(id, Fault::Crash);
+            simulation.restart(id);
+        }
+        simulation.run(Timing::default().election_min);
+        assert_eq!(simulation.leader(), Some(leader), "seed {seed}");
+        simulation.finish();
+    }
+}
