feat(control,roles): log attachments of nodes and why a leader lost its lease

The log told when a node applied a version (E1101), but not whether it was attached to a parent, was looking for one or waited for a leader, so the hypotheses could not be told apart.

Adds E1102 parent-attached, E1103 parent-lost and E1104 attach-failed with the reason, and a reason to E1602 leader-lost.

--- a/trefoillock-control/src/agent.rs
+++ b/trefoillock-control/src/agent.rs
@@ -15,8 +15,8 @@
 use trefoillock_rpc::{RpcClient, RpcServer, Token, TrafficCounter};
 
 use crate::{
-    DownMessage, LinkId, NodeEffect, NodeIdentity, NodeMachine, ParentAddress, ParentKind,
-    UpMessage,
+    DownMessage, LinkId, NodeEffect, NodeIdentity, NodeMachine, ParentAddress, ParentEvent,
+    ParentKind, UpMessage,
     child_server::{
         self, CONTROL_PATH, ChildEvent, ChildSenders, EVENT_QUEUE_CAPACITY, RELAY_PATH,
     },
@@ -28,6 +28,8 @@
 /// The capacity of the queue of messages to the parent; messages beyond it are dropped and sent
 /// again later.
 const LINK_QUEUE_CAPACITY: usize = 64;
+/// The capacity of the queue of parent events; events beyond it are dropped.
+const PARENT_EVENT_CAPACITY: usize = 64;
 
 /// Evidence that was collected on this node since it was last passed to the agent.
 #[derive(Debug, Clone, Default)]
@@ -48,7 +50,7 @@
 }
 
 /// The outputs of the distribution for the node.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct NodeOutputs {
     /// The configuration by which to serve calls; `None` until a live leader has confirmed one.
     pub config: watch::Receiver<Option<Arc<Config>>>,
@@ -57,6 +59,8 @@
     /// The last round that a live leader confirmed; it keeps rising while the node can reach a
     /// leader.
     pub confirmed_round: watch::Receiver<u64>,
+    /// What happens to the connection to the parent, for the log.
+    pub parent_events: mpsc::Receiver<ParentEvent>,
 }
 
 struct ParentLink {
@@ -77,6 +81,7 @@
     config: watch::Sender<Option<Arc<Config>>>,
     members: watch::Sender<Arc<Members>>,
     confirmed_round: watch::Sender<u64>,
+    parent_events: mpsc::Sender<ParentEvent>,
     token: Token,
     traffic: Arc<TrafficCounter>,
     links: Map<LinkId, ParentLink>,
@@ -105,6 +110,7 @@
         let (config_tx, config) = watch::channel(None);
         let (members_tx, members) = watch::channel(Arc::default());
         let (round_tx, confirmed_round) = watch::channel(0);
+        let (parent_events_tx, parent_events) = mpsc::channel(PARENT_EVENT_CAPACITY);
         let rng = Pcg64Mcg::seed_from_u64(rand::random());
         let agent = Self {
             machine: NodeMachine::new(identity, control, rng),
@@ -112,6 +118,7 @@
             config: config_tx,
             members: members_tx,
             confirmed_round: round_tx,
+            parent_events: parent_events_tx,
             token,
             traffic,
             links: Map::default(),
@@ -128,6 +135,7 @@
                 config,
                 members,
                 confirmed_round,
+                parent_events,
             },
         )
     }
@@ -158,6 +166,7 @@
                 _ = tick.tick() => self.machine.on_tick(self.clock.now()),
             }
             self.run_effects();
+            self.report_parent_events();
             self.publish();
         }
         for link in self.links.values() {
@@ -232,6 +241,14 @@
         }
     }
 
+    fn report_parent_events(&mut self) {
+        for event in self.machine.take_parent_events() {
+            if self.parent_events.try_send(event).is_err() {
+                log::debug!("dropped a parent event: the queue is full or closed");
+            }
+        }
+    }
+
     fn publish(&self) {
         let round = self.machine.confirmed_round();
         self.confirmed_round
--- a/trefoillock-control/src/lib.rs
+++ b/trefoillock-control/src/lib.rs
@@ -28,6 +28,7 @@
 mod message;
 mod node_machine;
 mod node_table;
+mod parent_event;
 mod payload;
 pub mod timing;
 mod tree_planner;
@@ -53,6 +54,7 @@
 };
 pub use node_machine::{NodeEffect, NodeIdentity, NodeMachine};
 pub use node_table::NodeTable;
+pub use parent_event::{LinkEnd, ParentEvent};
 pub use payload::{ConfigUpdate, MembersUpdate, Payload};
 pub use tree_planner::{Placement, TreePlanner};
 pub use uplink::{LinkAction, LinkId, Uplink};
--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -15,8 +15,8 @@
 use crate::{
     AckSummary, AttachLimiter, ChildKey, ChildState, ConfigHolder, ConfigUpdate, Distributor,
     DownMessage, EvidenceOutbox, HeldVersions, Hello, LinkAction, LinkId, MembersHolder,
-    MembersUpdate, MinVersions, NodeRecord, ParentAddress, Payload, Repair, Report, ReportReply,
-    SubtreeChange, SubtreeDigest, UpMessage, Update, Uplink,
+    MembersUpdate, MinVersions, NodeRecord, ParentAddress, ParentEvent, Payload, Repair, Report,
+    ReportReply, SubtreeChange, SubtreeDigest, UpMessage, Update, Uplink,
     timing::{MIN_REPORT_INTERVAL, REPORT_INTERVAL},
 };
 
@@ -455,6 +455,11 @@
         self.distributor.len()
     }
 
+    /// Removes and returns what happened to the connections to parents, in order.
+    pub fn take_parent_events(&mut self) -> Vec<ParentEvent> {
+        self.uplink.take_events()
+    }
+
     /// Removes and returns the effects to carry out, in order.
     pub fn take_effects(&mut self) -> Vec<NodeEffect> {
         std::mem::take(&mut self.effects)
--- a/trefoillock-control/src/uplink.rs
+++ b/trefoillock-control/src/uplink.rs
@@ -10,7 +10,7 @@
 use trefoillock_core::{Timestamp, data};
 
 use crate::{
-    Backoff, ParentAddress,
+    Backoff, LinkEnd, ParentAddress, ParentEvent,
     timing::{ATTACH_TIMEOUT, CONFIRMATION_TIMEOUT, PROBE_INTERVAL, SILENCE_TIMEOUT},
 };
 
@@ -80,6 +80,9 @@
     backoff: Backoff,
     last_link_number: u64,
     actions: Vec<LinkAction>,
+    /// The start of the present search for a parent; `None` while attached.
+    searching_since: Option<Timestamp>,
+    events: Vec<ParentEvent>,
 }
 
 impl Uplink {
@@ -106,6 +109,8 @@
             backoff: Backoff::default(),
             last_link_number: 0,
             actions: Vec::new(),
+            searching_since: None,
+            events: Vec::new(),
         }
     }
 
@@ -114,10 +119,10 @@
         match self.phase {
             Phase::Waiting { until } if until <= now => self.open(now),
             Phase::Opening(link) if now.since(link.last_received) >= ATTACH_TIMEOUT => {
-                self.on_failure(now, link, rng);
+                self.on_failure(now, link, LinkEnd::Silent, rng);
             }
             Phase::Attached(link) if now.since(link.last_received) >= SILENCE_TIMEOUT => {
-                self.on_failure(now, link, rng);
+                self.on_failure(now, link, LinkEnd::Silent, rng);
             }
             Phase::Attached(_) => self.check_probe(now, rng),
             Phase::Waiting { .. } | Phase::Opening(_) => {}
@@ -128,6 +133,7 @@
         let Some(address) = self.target.take().or_else(|| self.next_address()) else {
             return;
         };
+        self.searching_since.get_or_insert(now);
         let link = self.new_link(now, address, false);
         self.phase = Phase::Opening(link);
     }
@@ -170,8 +176,8 @@
         }
     }
 
-    fn on_failure(&mut self, now: Timestamp, link: Link, rng: &mut Pcg64Mcg) {
-        self.actions.push(LinkAction::Close(link.id));
+    fn on_failure(&mut self, now: Timestamp, link: Link, reason: LinkEnd, rng: &mut Pcg64Mcg) {
+        self.leave(now, link, reason);
         self.stop_probe();
         self.avoid_failed_relay(link);
         self.redirects = 0;
@@ -179,6 +185,22 @@
         self.schedule_open(now, delay);
     }
 
+    /// Closes the connection to the present or attempted parent.
+    fn leave(&mut self, now: Timestamp, link: Link, reason: LinkEnd) {
+        self.actions.push(LinkAction::Close(link.id));
+        let parent = link.address;
+        self.events.push(if self.attached() == Some(link.id) {
+            self.searching_since = Some(now);
+            ParentEvent::Lost {
+                parent,
+                reason,
+                unconfirmed: now.since(self.last_confirmed),
+            }
+        } else {
+            ParentEvent::AttemptFailed { parent, reason }
+        });
+    }
+
     fn avoid_failed_relay(&mut self, link: Link) {
         if link.address.is_relay() {
             self.avoid = Some(link.address.address);
@@ -228,6 +250,11 @@
                 ..link
             });
             self.last_confirmed = now;
+            let searching_since = self.searching_since.take();
+            self.events.push(ParentEvent::Attached {
+                parent: link.address,
+                unattached: now.since(searching_since.unwrap_or(now)),
+            });
             self.redirects = 0;
             self.retries = 0;
             self.backoff.reset();
@@ -250,15 +277,16 @@
         let Some(link) = self.current().filter(|link| link.id == id) else {
             return;
         };
-        self.actions.push(LinkAction::Close(id));
         self.redirects += 1;
         let is_loop = self.redirects > MAX_REDIRECTS || to == link.address;
         if is_loop {
+            self.leave(now, link, LinkEnd::RedirectLoop);
             self.redirects = 0;
             let delay = self.backoff.next_delay(rng);
             self.schedule_open(now, delay);
             return;
         }
+        self.leave(now, link, LinkEnd::Redirected);
         self.target = Some(to);
         self.schedule_open(now, Duration::ZERO);
     }
@@ -275,7 +303,7 @@
         } else if to != link.address {
             self.redirects = 0;
             self.avoid_failed_relay(link);
-            self.actions.push(LinkAction::Close(link.id));
+            self.leave(now, link, LinkEnd::BetterParent);
             self.target = Some(to);
             self.schedule_open(now, Duration::ZERO);
         }
@@ -291,7 +319,7 @@
         let Some(link) = self.current().filter(|link| link.id == id) else {
             return;
         };
-        self.actions.push(LinkAction::Close(id));
+        self.leave(now, link, LinkEnd::Retry);
         let max_jitter_ms = u64::try_from(after.as_millis() / 4).unwrap_or(u64::MAX);
         let jitter = Duration::from_millis(rng.random_range(0..=max_jitter_ms));
         self.retries += 1;
@@ -319,15 +347,19 @@
     /// Leaves a parent whose path to the leader leads through this node.
     pub fn on_routing_loop(&mut self, now: Timestamp, id: LinkId, rng: &mut Pcg64Mcg) {
         self.alternates.clear();
-        self.on_closed(now, id, rng);
+        self.on_ended(now, id, LinkEnd::RoutingLoop, rng);
     }
 
     /// Handles the end of a connection.
     pub fn on_closed(&mut self, now: Timestamp, id: LinkId, rng: &mut Pcg64Mcg) {
+        self.on_ended(now, id, LinkEnd::Closed, rng);
+    }
+
+    fn on_ended(&mut self, now: Timestamp, id: LinkId, reason: LinkEnd, rng: &mut Pcg64Mcg) {
         if self.probe.is_some_and(|probe| probe.id == id) {
             self.probe = None;
         } else if let Some(link) = self.current().filter(|link| link.id == id) {
-            self.on_failure(now, link, rng);
+            self.on_failure(now, link, reason, rng);
         }
     }
 
@@ -393,6 +425,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Removes and returns what happened to the connections to parents, in order.
+    pub fn take_events(&mut self) -> Vec<ParentEvent> {
+        std::mem::take(&mut self.events)
+    }
+
     const fn current(&self) -> Option<Link> {
         match self.phase {
             Phase::Opening(link) | Phase::Attached(link) => Some(link),
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -77,6 +77,12 @@
     LinesLeftOut = 1006, "lines-left-out", Warn;
     /// The node applied a newer configuration; fields: version, routes, pools.
     ConfigTaken = 1101, "config-taken", Info;
+    /// The node attached to a parent in the distribution tree; fields: parent, kind, unattached-millis.
+    ParentAttached = 1102, "parent-attached", Info;
+    /// The node lost its parent in the distribution tree; fields: parent, kind, reason, unconfirmed-millis, the age of the last answer of a leader.
+    ParentLost = 1103, "parent-lost", Warn;
+    /// A process did not become the parent of the node; fields: parent, kind, reason.
+    AttachFailed = 1104, "attach-failed", Info;
     /// A backend server announced itself or changed; fields: address, service, version, state.
     ServerAnnounced = 1201, "server-announced", Info;
     /// The lease of a backend server expired; fields: address.
@@ -109,7 +115,7 @@
     MoveTakenBack = 1505, "move-taken-back", Warn;
     /// The replica became leader; fields: term.
     LeaderElected = 1601, "leader-elected", Info;
-    /// The replica is no longer leader; fields: term.
+    /// The replica is no longer leader; fields: term, reason.
     LeaderLost = 1602, "leader-lost", Warn;
     /// A replica was added, promoted or removed; fields: change, replica.
     ReplicaChanged = 1603, "replica-changed", Info;
--- a/trefoillock-roles/src/leadership.rs
+++ b/trefoillock-roles/src/leadership.rs
@@ -4,6 +4,7 @@
 //! read barrier, so that it never publishes a configuration older than an acknowledged edit.
 
 use std::{
+    fmt,
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
@@ -12,7 +13,7 @@
 use trefoillock_control::{ControlState, LeadershipRole};
 use trefoillock_core::{Config, Term};
 use trefoillock_process::Event;
-use trefoillock_replica::{ReplicaHandle, ReplicaRole, ReplicaStatus};
+use trefoillock_replica::{ReadError, ReplicaHandle, ReplicaRole, ReplicaStatus};
 
 use crate::{process_context::ProcessContext, shared_store::SharedStore};
 
@@ -31,6 +32,33 @@
     pub(crate) term: Option<Term>,
 }
 
+/// Why this replica does not count as leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unconfirmed {
+    /// Another replica leads, or none.
+    Follower,
+    /// The replica leads, but no quorum has granted it a lease.
+    NoLease,
+    /// The read barrier did not pass before the lease ended or within [`CONFIRM_TIMEOUT`].
+    BarrierTimedOut,
+    /// The replica refused the read barrier.
+    BarrierRefused,
+    /// The lease ended while the read barrier passed.
+    LeaseEnded,
+}
+
+impl fmt::Display for Unconfirmed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Follower => "follower",
+            Self::NoLease => "no-lease",
+            Self::BarrierTimedOut => "barrier-timed-out",
+            Self::BarrierRefused => "barrier-refused",
+            Self::LeaseEnded => "lease-ended",
+        })
+    }
+}
+
 /// Waits until the lease ends. Never returns if there is none.
 async fn wait_for_lease_end(end: Option<Instant>) {
     match end {
@@ -46,16 +74,16 @@
     }
 }
 
-/// Returns the configuration as it is after the read barrier, or `None` if the barrier failed.
+/// Returns the configuration as it is after the read barrier, or why the barrier failed.
 ///
 /// While a new leader waits for the barrier, it applies the entries that were committed under
 /// earlier leaders. A configuration read before the barrier may thus be older than the last
 /// acknowledged edit.
 async fn read_config_after(
-    barrier: impl Future<Output = bool>,
+    barrier: impl Future<Output = Result<(), Unconfirmed>>,
     config: &mut watch::Receiver<Arc<Config>>,
-) -> Option<Arc<Config>> {
-    barrier.await.then(|| config.borrow_and_update().clone())
+) -> Result<Arc<Config>, Unconfirmed> {
+    barrier.await.map(|()| config.borrow_and_update().clone())
 }
 
 /// Publishes whether this replica leads to the distribution and to the tasks of the leader.
@@ -103,14 +131,14 @@
             let confirmed_config = if current_status.role == ReplicaRole::Leader {
                 read_config_after(self.confirm_leadership(&lease), &mut config).await
             } else {
-                None
+                Err(Unconfirmed::Follower)
             };
-            let is_leading = confirmed_config.is_some();
+            let confirmation = confirmed_config.as_ref().map(|_| ()).map_err(|e| *e);
             let current_config =
-                confirmed_config.unwrap_or_else(|| config.borrow_and_update().clone());
+                confirmed_config.unwrap_or_else(|_| config.borrow_and_update().clone());
             self.publish(
                 &current_status,
-                is_leading,
+                confirmation,
                 &current_config,
                 &state,
                 &leadership,
@@ -118,25 +146,35 @@
         }
     }
 
-    /// Returns whether this replica holds a lease and has applied every entry that was committed
+    /// Confirms that this replica holds a lease and has applied every entry that was committed
     /// before this call. Returns no later than the lease ends.
-    async fn confirm_leadership(&self, lease: &watch::Receiver<Option<Instant>>) -> bool {
+    async fn confirm_leadership(
+        &self,
+        lease: &watch::Receiver<Option<Instant>>,
+    ) -> Result<(), Unconfirmed> {
         let lease_end = || (*lease.borrow()).filter(|end| *end > Instant::now());
-        let Some(end) = lease_end() else { return false };
+        let Some(end) = lease_end() else {
+            return Err(Unconfirmed::NoLease);
+        };
         let limit = end.min(Instant::now() + CONFIRM_TIMEOUT);
         let barrier = tokio::time::timeout_at(limit.into(), self.replica.read_barrier());
-        matches!(barrier.await, Ok(Ok(_))) && lease_end().is_some()
+        match barrier.await {
+            Ok(Ok(_)) if lease_end().is_some() => Ok(()),
+            Ok(Ok(_)) => Err(Unconfirmed::LeaseEnded),
+            Ok(Err(ReadError::NotLeader { .. })) => Err(Unconfirmed::BarrierRefused),
+            Ok(Err(ReadError::TimedOut)) | Err(_) => Err(Unconfirmed::BarrierTimedOut),
+        }
     }
 
     fn publish(
         &self,
         status: &ReplicaStatus,
-        is_leading: bool,
+        confirmation: Result<(), Unconfirmed>,
         config: &Arc<Config>,
         state: &watch::Sender<ControlState>,
         leadership: &watch::Sender<Leadership>,
     ) {
-        let term = is_leading.then_some(status.term);
+        let term = confirmation.is_ok().then_some(status.term);
         let leader = status.leader_address().map(|(_, address)| address);
         let role = match term {
             Some(term) => LeadershipRole::Leading { term },
@@ -163,7 +201,7 @@
         let previous = leadership.borrow().term;
         leadership
             .send_if_modified(|last| std::mem::replace(last, Leadership { term }).term != term);
-        self.log_term_change(previous, term);
+        self.log_term_change(previous, term, confirmation);
         let metrics = &self.context.metrics;
         metrics.term.set(status.term.get());
         metrics.is_leader.set(u64::from(term.is_some()));
@@ -174,14 +212,22 @@
             .store(leader.is_none() && term.is_none(), Ordering::Relaxed);
     }
 
-    fn log_term_change(&self, previous: Option<Term>, current: Option<Term>) {
+    fn log_term_change(
+        &self,
+        previous: Option<Term>,
+        current: Option<Term>,
+        confirmation: Result<(), Unconfirmed>,
+    ) {
         if previous == current {
             return;
         }
         if let Some(term) = previous {
+            let reason = confirmation
+                .err()
+                .map_or_else(|| "new-term".to_owned(), |e| e.to_string());
             self.context
                 .events
-                .write(Event::LeaderLost, &[("term", &term)]);
+                .write(Event::LeaderLost, &[("term", &term), ("reason", &reason)]);
         }
         if let Some(term) = current {
             self.context
--- a/trefoillock-roles/src/leadership/tests.rs
+++ b/trefoillock-roles/src/leadership/tests.rs
@@ -6,7 +6,7 @@
 use trefoillock_core::{Config, ConfigVersion, Edit, EditId, LogIndex, Tables, Timestamp};
 use trefoillock_store::{Command, TableStore};
 
-use super::read_config_after;
+use super::{Unconfirmed, read_config_after};
 
 /// Returns the configuration after an edit at the given log index.
 fn config(index: u64) -> Arc<Config> {
@@ -26,7 +26,7 @@
     let (tx, mut rx) = watch::channel(config(1));
     let barrier = async {
         tx.send_replace(config(9));
-        true
+        Ok(())
     };
     let read = read_config_after(barrier, &mut rx).await.expect("a leader");
     assert_eq!(read.version(), ConfigVersion::new(9));
@@ -35,5 +35,7 @@
 #[tokio::test]
 async fn without_a_passed_barrier_there_is_no_configuration() {
     let (_tx, mut rx) = watch::channel(config(1));
-    assert!(read_config_after(async { false }, &mut rx).await.is_none());
+    let barrier = async { Err(Unconfirmed::BarrierTimedOut) };
+    let read = read_config_after(barrier, &mut rx).await;
+    assert_eq!(read, Err(Unconfirmed::BarrierTimedOut));
 }
--- a/trefoillock-roles/src/lib.rs
+++ b/trefoillock-roles/src/lib.rs
@@ -18,6 +18,7 @@
 mod move_event_log;
 mod node_role;
 mod operator_service;
+mod parent_event_log;
 mod process_context;
 mod readiness;
 mod shared_store;
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -19,7 +19,9 @@
 use trefoillock_process::{Event, NodeSettings};
 use trefoillock_rpc::{RpcServer, TrafficCounter};
 
-use crate::{metrics::CallLabels, process_context::ProcessContext};
+use crate::{
+    metrics::CallLabels, parent_event_log::write_parent_event, process_context::ProcessContext,
+};
 
 /// The time between two reports of evidence.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(250);
@@ -164,6 +166,9 @@
                 () = self.context.stop.cancelled(), if !self.is_stopping() => {
                     self.context.health.stopping.store(true, Ordering::Relaxed);
                 }
+                Some(event) = outputs.parent_events.recv() => {
+                    write_parent_event(self.context.events, &event);
+                }
                 Ok(()) = outputs.members.changed() => {
                     let members = outputs.members.borrow_and_update().clone();
                     self.node.view().set_members(members);
