--- a/trefoillock-stand-ins/src/fleet/network.rs
+++ b/trefoillock-stand-ins/src/fleet/network.rs
@@ -82,6 +82,7 @@
     pub(super) clock_offsets: Map<Process, Duration>,
     pub(super) isolated: BTreeSet<Process>,
     pub(super) partitions: BTreeSet<(Process, Process)>,
+    pub(super) link_delays: Map<Process, Duration>,
     pub(super) egress_free_at: Map<Process, Timestamp>,
     pub(super) loads: Map<Process, ProcessLoad>,
     pub(super) counts_bytes: bool,
@@ -110,6 +111,7 @@
             clock_offsets: Map::default(),
             isolated: BTreeSet::new(),
             partitions: BTreeSet::new(),
+            link_delays: Map::default(),
             egress_free_at: Map::default(),
             loads: Map::default(),
             counts_bytes,
@@ -146,6 +148,12 @@
         }
     }
 
+    /// Gives a leader the state of a replica whose lease has ended although it was not replaced,
+    /// as when its process had no processor time for a while.
+    pub fn lapse_lease(&mut self, at: usize, config: &Arc<Config>) {
+        self.set_state(at, LeadershipRole::Following { leader: None }, config);
+    }
+
     /// Sets the role and the configuration of one control replica.
     pub fn set_state(&mut self, at: usize, role: LeadershipRole, config: &Arc<Config>) {
         self.checks.record_config(config);
@@ -232,6 +240,11 @@
         self.partitions.insert((Process::Node(node), parent));
     }
 
+    /// Delays each message from and to a process, as a link does whose queues are full.
+    pub fn delay_link(&mut self, process: Process, delay: Duration) {
+        self.link_delays.insert(process, delay);
+    }
+
     /// Ends all partitions and isolations.
     pub fn heal(&mut self) {
         self.partitions.clear();
--- a/trefoillock-stand-ins/src/fleet/transport.rs
+++ b/trefoillock-stand-ins/src/fleet/transport.rs
@@ -35,6 +35,7 @@
         let parent_incarnation = self.incarnation_of(parent);
         let node_incarnation = self.nodes[at].incarnation;
         let key = ChildKey::new(id as u64);
+        let opened_at = self.now + self.handshake_time(at, parent);
         self.connections.push(Connection {
             node: at,
             node_incarnation,
@@ -42,8 +43,8 @@
             parent,
             parent_incarnation,
             key,
-            last_up_arrival: self.now,
-            last_down_arrival: self.now,
+            last_up_arrival: opened_at,
+            last_down_arrival: opened_at,
         });
         self.links.insert((at, node_incarnation, link), id);
         self.keys.insert((parent, parent_incarnation, key), id);
@@ -157,8 +158,19 @@
 
     fn latency(&self, id: usize) -> Duration {
         let connection = &self.connections[id];
-        let node = self.location(Process::Node(connection.node));
-        node.latency_to(self.location(connection.parent))
+        self.latency_between(connection.node, connection.parent)
+    }
+
+    fn latency_between(&self, node: usize, parent: Process) -> Duration {
+        let node = Process::Node(node);
+        let latency = self.location(node).latency_to(self.location(parent));
+        let delay = |process| self.link_delays.get(&process).copied().unwrap_or_default();
+        latency + delay(node) + delay(parent)
+    }
+
+    /// The time until the first message of a connection arrives: the handshake takes a round trip.
+    fn handshake_time(&self, node: usize, parent: Process) -> Duration {
+        self.latency_between(node, parent) * 3
     }
 
     fn process_at(&self, address: SocketAddr) -> Option<Process> {
