fix(control,roles): keep the attached nodes while the lease of the leader lapses

Cause: the leader loses its lease for 0 to 20 ms whenever its thread is held up, for example by a large document. The distribution was then told that no leader is known. It rejected all nodes attached to the leader, forgot the fleet, and began anew when the lease was back in the same term.

Fix: a replica that was elected but cannot confirm its lease is Unconfirmed instead of Following. It keeps its nodes, confirms no round, publishes no member list and accepts no new node; it goes on once it holds a lease in the same term, and rejects its nodes if it is replaced.

--- a/trefoillock-control/src/control_machine.rs
+++ b/trefoillock-control/src/control_machine.rs
@@ -60,6 +60,12 @@
         /// The term in which it leads.
         term: Term,
     },
+    /// The replica was elected but cannot confirm at present that it still leads, because its lease
+    /// has ended or its state is not known to be current.
+    Unconfirmed {
+        /// The term in which it was elected.
+        term: Term,
+    },
     /// The replica is not the leader.
     Following {
         /// The address on which the leader accepts nodes; `None` if no leader is known.
@@ -151,24 +157,43 @@
     pub fn set_state(&mut self, now: Timestamp, state: &ControlState) {
         self.set_config(&state.config);
         self.replicas.clone_from(&state.replicas);
-        if state.role != self.role {
-            let before = std::mem::replace(&mut self.role, state.role);
-            match (before, state.role) {
-                (LeadershipRole::Following { .. }, LeadershipRole::Leading { term }) => {
-                    self.start_leading(now, term);
-                }
-                (LeadershipRole::Leading { .. }, LeadershipRole::Leading { term }) => {
+        self.set_role(now, self.next_role(state.role));
+        self.answer_waiting_nodes(now);
+        self.send_updates(now);
+    }
+
+    /// Returns the role to take. A replica that was elected but has not led in this term does not
+    /// know the fleet, so nodes are treated as while no leader is known.
+    fn next_role(&self, role: LeadershipRole) -> LeadershipRole {
+        match (self.role, role) {
+            (
+                LeadershipRole::Leading { term } | LeadershipRole::Unconfirmed { term },
+                LeadershipRole::Unconfirmed { term: elected_in },
+            ) if term == elected_in => role,
+            (_, LeadershipRole::Unconfirmed { .. }) => LeadershipRole::Following { leader: None },
+            _ => role,
+        }
+    }
+
+    fn set_role(&mut self, now: Timestamp, role: LeadershipRole) {
+        use LeadershipRole::{Following, Leading, Unconfirmed};
+        let before = std::mem::replace(&mut self.role, role);
+        match (before, role) {
+            (Following { .. }, Leading { term }) => self.start_leading(now, term),
+            (Leading { term: old }, Leading { term }) => {
+                if old != term {
                     self.version = MembersVersion::new(term, 0).max(self.version);
                     self.is_dirty = true;
                 }
-                (LeadershipRole::Leading { .. }, LeadershipRole::Following { .. }) => {
-                    self.stop_leading();
-                }
-                (LeadershipRole::Following { .. }, LeadershipRole::Following { .. }) => {}
             }
+            (Unconfirmed { term: old }, Leading { term }) if old == term => self.is_dirty = true,
+            (Unconfirmed { .. }, Leading { term }) => {
+                self.stop_leading();
+                self.start_leading(now, term);
+            }
+            (Leading { .. } | Unconfirmed { .. }, Following { .. }) => self.stop_leading(),
+            (_, Unconfirmed { .. }) | (Following { .. }, Following { .. }) => {}
         }
-        self.answer_waiting_nodes(now);
-        self.send_updates(now);
     }
 
     fn set_config(&mut self, config: &Arc<Config>) {
@@ -226,23 +251,24 @@
             LeadershipRole::Following {
                 leader: Some(leader),
             } => Err(DownMessage::Redirect(ParentAddress::control(leader))),
-            LeadershipRole::Following { leader: None } => match self.redirect_without_leader(hello)
-            {
-                Some(relay) => Err(relay),
-                None if hello.is_probe || self.waiting.len() >= MAX_WAITING => {
-                    Err(retry_message(RETRY_DELAY))
-                }
-                // A replica without a membership, as after the loss of its disk, learns of a leader
-                // later than the others, so the node must not wait here.
-                None if self.replicas.is_empty() => {
-                    self.effects.push(ControlEffect::Close(key));
-                    return;
-                }
-                None => {
-                    self.waiting.insert(key, (hello.clone(), now + LEADER_WAIT));
-                    return;
+            LeadershipRole::Unconfirmed { .. } | LeadershipRole::Following { leader: None } => {
+                match self.redirect_without_leader(hello) {
+                    Some(relay) => Err(relay),
+                    None if hello.is_probe || self.waiting.len() >= MAX_WAITING => {
+                        Err(retry_message(RETRY_DELAY))
+                    }
+                    // A replica without a membership, as after the loss of its disk, learns of a
+                    // leader later than the others, so the node must not wait here.
+                    None if self.replicas.is_empty() => {
+                        self.effects.push(ControlEffect::Close(key));
+                        return;
+                    }
+                    None => {
+                        self.waiting.insert(key, (hello.clone(), now + LEADER_WAIT));
+                        return;
+                    }
                 }
-            },
+            }
         };
         if let Err(rejection) = placement {
             self.reject(key, rejection);
@@ -292,7 +318,12 @@
     /// Answers the waiting nodes once a leader is known, and closes the connections of those whose
     /// wait is over.
     fn answer_waiting_nodes(&mut self, now: Timestamp) {
-        if self.role == (LeadershipRole::Following { leader: None }) {
+        let knows_leader = match self.role {
+            LeadershipRole::Leading { .. } => true,
+            LeadershipRole::Unconfirmed { .. } => false,
+            LeadershipRole::Following { leader } => leader.is_some(),
+        };
+        if !knows_leader {
             let expired: Vec<ChildKey> = self
                 .waiting
                 .iter()
@@ -344,9 +375,12 @@
         }
     }
 
-    /// Replies to a report. The leader itself confirms every round at once.
+    /// Replies to a report. The leader itself confirms every round at once; a replica that may have
+    /// been replaced confirms none.
     fn send_reply(&mut self, key: ChildKey) {
-        self.distributor.confirm(0);
+        if self.is_leading() {
+            self.distributor.confirm(0);
+        }
         let min_versions = MinVersions {
             config: self
                 .config
@@ -405,6 +439,8 @@
     pub fn on_tick(&mut self, now: Timestamp) {
         if !self.is_leading() {
             self.answer_waiting_nodes(now);
+        }
+        if matches!(self.role, LeadershipRole::Following { .. }) {
             return;
         }
         for key in self.distributor.silent_children(now) {
@@ -415,7 +451,7 @@
         self.is_dirty |= self.node_table.expire(now, reported);
         let elapsed = now.since(self.last_publish);
         let is_due = self.is_dirty || elapsed >= MEMBERS_REFRESH_INTERVAL;
-        if is_due && elapsed >= MEMBERS_WINDOW && self.may_publish(now) {
+        if self.is_leading() && is_due && elapsed >= MEMBERS_WINDOW && self.may_publish(now) {
             self.publish(now);
         }
         self.send_updates(now);
--- a/trefoillock-roles/src/leadership.rs
+++ b/trefoillock-roles/src/leadership.rs
@@ -86,6 +86,21 @@
     barrier.await.map(|()| config.borrow_and_update().clone())
 }
 
+/// Returns the role that a replica has in the distribution.
+fn leadership_role(
+    status: &ReplicaStatus,
+    confirmation: Result<(), Unconfirmed>,
+) -> LeadershipRole {
+    let term = status.term;
+    match (confirmation, status.role) {
+        (Ok(()), _) => LeadershipRole::Leading { term },
+        (Err(_), ReplicaRole::Leader) => LeadershipRole::Unconfirmed { term },
+        (Err(_), _) => LeadershipRole::Following {
+            leader: status.leader_address().map(|(_, address)| address),
+        },
+    }
+}
+
 /// Publishes whether this replica leads to the distribution and to the tasks of the leader.
 pub(crate) struct LeadershipPublisher {
     context: ProcessContext,
@@ -176,13 +191,7 @@
     ) {
         let term = confirmation.is_ok().then_some(status.term);
         let leader = status.leader_address().map(|(_, address)| address);
-        let role = match term {
-            Some(term) => LeadershipRole::Leading { term },
-            None if status.role == ReplicaRole::Leader => {
-                LeadershipRole::Following { leader: None }
-            }
-            None => LeadershipRole::Following { leader },
-        };
+        let role = leadership_role(status, confirmation);
         let members = status.members.members().values();
         let replicas: Vec<_> = members.map(|member| member.address).collect();
         state.send_if_modified(|published| {
--- a/trefoillock-roles/src/leadership/tests.rs
+++ b/trefoillock-roles/src/leadership/tests.rs
@@ -1,12 +1,16 @@
-//! Tests that a new leader publishes no configuration older than the last acknowledged edit.
+//! Tests of the role and the configuration that a replica publishes to the distribution.
 
 use std::sync::Arc;
 
 use tokio::sync::watch;
-use trefoillock_core::{Config, ConfigVersion, Edit, EditId, LogIndex, Tables, Timestamp};
+use trefoillock_control::LeadershipRole;
+use trefoillock_core::{
+    Config, ConfigVersion, Edit, EditId, LogIndex, ReplicaId, Tables, Term, Timestamp,
+};
+use trefoillock_replica::{Membership, ReplicaRole, ReplicaStatus};
 use trefoillock_store::{Command, TableStore};
 
-use super::{Unconfirmed, read_config_after};
+use super::{Unconfirmed, leadership_role, read_config_after};
 
 /// Returns the configuration after an edit at the given log index.
 fn config(index: u64) -> Arc<Config> {
@@ -39,3 +43,34 @@
     let read = read_config_after(barrier, &mut rx).await;
     assert_eq!(read, Err(Unconfirmed::BarrierTimedOut));
 }
+
+#[test]
+fn a_leader_without_a_lease_is_unconfirmed() {
+    let term = Term::new(4);
+    let status = ReplicaStatus {
+        id: ReplicaId::new(1),
+        role: ReplicaRole::Leader,
+        term,
+        leader: Some(ReplicaId::new(1)),
+        commit: LogIndex::new(1),
+        applied: LogIndex::new(1),
+        last_index: LogIndex::new(1),
+        members: Membership::default(),
+        lease_until: None,
+        refusal: None,
+        failure: None,
+    };
+    let role = leadership_role(&status, Err(Unconfirmed::NoLease));
+    assert_eq!(role, LeadershipRole::Unconfirmed { term });
+    assert_eq!(
+        leadership_role(&status, Ok(())),
+        LeadershipRole::Leading { term }
+    );
+    let follower = ReplicaStatus {
+        role: ReplicaRole::Follower,
+        leader: None,
+        ..status
+    };
+    let role = leadership_role(&follower, Err(Unconfirmed::Follower));
+    assert_eq!(role, LeadershipRole::Following { leader: None });
+}
--- a/trefoillock-stand-ins/src/fleet/network.rs
+++ b/trefoillock-stand-ins/src/fleet/network.rs
@@ -12,7 +12,7 @@
     ChildKey, ControlEffect, ControlMachine, ControlState, LeadershipRole, LinkId, NodeEffect,
     NodeIdentity, NodeMachine, UpMessage,
 };
-use trefoillock_core::{Config, Incarnation, Map, Timestamp};
+use trefoillock_core::{Config, Incarnation, Map, Term, Timestamp};
 
 use super::{
     Checks, Location, NetworkFaults,
@@ -137,7 +137,7 @@
         for at in 0..self.controls.len() {
             let role = if leader == Some(at) {
                 LeadershipRole::Leading {
-                    term: trefoillock_core::Term::new(term),
+                    term: Term::new(term),
                 }
             } else {
                 LeadershipRole::Following {
@@ -150,8 +150,8 @@
 
     /// Gives a leader the state of a replica whose lease has ended although it was not replaced,
     /// as when its process had no processor time for a while.
-    pub fn lapse_lease(&mut self, at: usize, config: &Arc<Config>) {
-        self.set_state(at, LeadershipRole::Following { leader: None }, config);
+    pub fn lapse_lease(&mut self, at: usize, term: Term, config: &Arc<Config>) {
+        self.set_state(at, LeadershipRole::Unconfirmed { term }, config);
     }
 
     /// Sets the role and the configuration of one control replica.
--- a/trefoillock-stand-ins/tests/distribution_faults.rs
+++ b/trefoillock-stand-ins/tests/distribution_faults.rs
@@ -42,6 +42,8 @@
     SourceOutage,
     OutageAndRestart,
     LossAndLeaderChange,
+    /// The lease of the leader ends again and again, but no other replica is elected.
+    LeaseLapses,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -279,6 +281,15 @@
                 self.fleet.set_faults(lost);
                 self.elect(2);
             }
+            Fault::LeaseLapses => {
+                let term = Term::new(self.term);
+                for _ in 0..8 {
+                    self.fleet.lapse_lease(0, term, &self.config);
+                    self.fleet.run_for(Duration::from_millis(250));
+                    self.change();
+                    self.fleet.run_for(Duration::from_millis(50));
+                }
+            }
         }
     }
 
@@ -383,4 +394,5 @@
     source_outage: SourceOutage,
     source_outage_with_restarts: OutageAndRestart,
     loss_and_leader_change: LossAndLeaderChange,
+    lease_lapses: LeaseLapses,
 }
--- a/trefoillock-stand-ins/tests/late_configurations.rs
+++ b/trefoillock-stand-ins/tests/late_configurations.rs
@@ -90,7 +90,7 @@
 fn a_lapse_of_the_lease_does_not_detach_the_nodes() {
     for seed in 0..SEEDS {
         let mut fleet = converged_fleet(seed);
-        fleet.lapse_lease(0, &config(2));
+        fleet.lapse_lease(0, Term::new(1), &config(2));
         fleet.run_for(Duration::from_millis(15));
         fleet.set_state(0, leading(1), &config(2));
         let end = fleet.now() + Duration::from_secs(1);
