fix(rpc): do not give up a connection whose handshake takes over 250 ms

What callers saw: a node lacked a route that had been acknowledged more than 2 s before, and so did the nodes below it, each time the node had to attach again while its link was loaded.

Cause: a connection attempt was ended after 250 ms. On a link on which packets wait, the handshake takes longer, so each attempt was thrown away shortly before it would have succeeded.

Tests: a_peer_that_begins_to_accept_while_a_client_connects_is_reached failed before (tcp connect error, 1 of 1).

--- a/trefoillock-rpc/src/client.rs
+++ b/trefoillock-rpc/src/client.rs
@@ -12,15 +12,8 @@
     transport::{Channel, Endpoint},
 };
 
-use crate::{MessageCodec, Token, TrafficCounter};
+use crate::{MessageCodec, Token, TrafficCounter, connector::Connector};
 
-/// The longest time that opening a connection may take.
-///
-/// It is longer than a round trip between the users' data centres and shorter than the one second
-/// after which the operating system retransmits a lost SYN packet. Without this limit, an attempt
-/// to connect to a VM that is powered off would wait for the retransmission even if the VM is
-/// running again by then.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The time between two keepalive pings on a connection, also on an idle one.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// The time after which a connection is closed if a keepalive ping is not acknowledged.
@@ -48,12 +41,10 @@
         let endpoint = Endpoint::from_shared(format!("http://{address}"))
             .unwrap_or_else(|_| Endpoint::from_static("http://0.0.0.0:0"));
         let channel = endpoint
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
             .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
             .keep_alive_timeout(KEEPALIVE_TIMEOUT)
             .keep_alive_while_idle(true)
-            .connect_lazy();
+            .connect_with_connector_lazy(Connector::new(address));
         Self {
             channel,
             token,
--- a/trefoillock-rpc/src/lib.rs
+++ b/trefoillock-rpc/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod client;
 mod codec;
+mod connector;
 mod server;
 mod token;
 mod traffic_counter;
--- a/trefoillock-rpc/tests/round_trip.rs
+++ b/trefoillock-rpc/tests/round_trip.rs
@@ -61,11 +61,9 @@
     stop.cancel();
 }
 
-/// Guards against a connection attempt that waits for the retransmission of its SYN packet. The
-/// accept queue of the listener is full, so SYN packets are dropped as they are for a VM that is
-/// powered off.
-#[tokio::test]
-async fn connecting_times_out_before_the_syn_packet_is_retransmitted() {
+/// Returns a listener that drops SYN packets, as a VM that is powered off does, because its accept
+/// queue is full. The queue is free again once the returned connections were accepted.
+async fn listener_with_full_queue() -> (TcpListener, Vec<TcpStream>) {
     let socket = TcpSocket::new_v4().expect("a socket");
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
     socket.bind(any_port).expect("a free port");
@@ -76,6 +74,14 @@
     while let Ok(Ok(stream)) = timeout(connect_limit, TcpStream::connect(address)).await {
         unaccepted.push(stream);
     }
+    (listener, unaccepted)
+}
+
+/// Guards against a connection attempt that waits for the retransmission of its SYN packet.
+#[tokio::test]
+async fn connecting_times_out_before_the_syn_packet_is_retransmitted() {
+    let (listener, _unaccepted) = listener_with_full_queue().await;
+    let address = listener.local_addr().expect("an address");
     let client = RpcClient::new(address, Token::none(), Arc::default());
     let start = Instant::now();
     let result = client.unary::<u64, u64>("/test/double", 21, TIMEOUT).await;
@@ -87,3 +93,22 @@
         start.elapsed()
     );
 }
+
+#[tokio::test]
+async fn a_peer_that_begins_to_accept_while_a_client_connects_is_reached() {
+    let (listener, unaccepted) = listener_with_full_queue().await;
+    let address = listener.local_addr().expect("an address");
+    let client = RpcClient::new(address, Token::none(), Arc::default());
+    let stop = CancellationToken::new();
+    let serve = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        drop(unaccepted);
+        let server = RpcServer::new(Token::none(), Arc::default())
+            .unary("/test/double", |n: u64| async move { Ok(n * 2) });
+        server.serve(listener, stop).await
+    };
+    let server = tokio::spawn(serve);
+    let result = client.unary::<u64, u64>("/test/double", 21, TIMEOUT).await;
+    assert_eq!(result.expect("a response"), 42);
+    server.abort();
+}
