fix(control): give a node that looks for a parent the changes it lacks, and time

Cause: the search for a parent assumes short round trips. An attempt is thrown away after 600 ms, though the handshake and the answer of one replica may take longer; each failed attempt doubles the backoff, although the next one asks another replica; and a node gets the configuration only from the parent that accepts it, after a replica, the leader and perhaps a relay were asked in turn.

Fix: an attempt that is not answered within 400 ms goes on beside the next one, three at most, and the first parent that accepts the node wins. The backoff grows once all replicas were tried, and a replica whose connection failed is asked last. Each answer of a control replica to a node that asks, also that of a follower, is preceded by the changes which the node lacks, if they are known as differences; all that a replica has applied is committed, and a node never goes back. A relay passes them on to its children at once.

If another attempt started after the one that is accepted, the node sends its state again, as its newest attachment, so that the record of the other attempt cannot replace the one in use.

--- a/trefoillock-control/src/control_machine.rs
+++ b/trefoillock-control/src/control_machine.rs
@@ -246,6 +246,20 @@
     }
 
     fn on_hello(&mut self, now: Timestamp, key: ChildKey, hello: &Hello) {
+        self.send_changes(key, hello);
+        self.answer_hello(now, key, hello);
+    }
+
+    /// Sends the changes that a node lacks before it is placed, since that may take several round
+    /// trips. Followers send them too: all that they have applied is committed.
+    fn send_changes(&mut self, key: ChildKey, hello: &Hello) {
+        let held = hello.report.state.as_ref().map(|state| state.held.config);
+        if let Some(changes) = held.and_then(|held| self.distributor.changes_since(held)) {
+            self.effects.push(ControlEffect::Send(key, changes));
+        }
+    }
+
+    fn answer_hello(&mut self, now: Timestamp, key: ChildKey, hello: &Hello) {
         let placement = match self.role {
             LeadershipRole::Leading { .. } => self.place(now, hello),
             LeadershipRole::Following {
@@ -339,7 +353,7 @@
             return;
         }
         for (key, (hello, _)) in std::mem::take(&mut self.waiting) {
-            self.on_hello(now, key, &hello);
+            self.answer_hello(now, key, &hello);
         }
     }
 
--- a/trefoillock-control/src/distributor.rs
+++ b/trefoillock-control/src/distributor.rs
@@ -257,6 +257,15 @@
         (!is_empty).then_some(DownMessage::Update(Update { config, members }))
     }
 
+    /// Returns the changes of the configuration that a node lacks which is not a child, if it holds a
+    /// version from which they are known.
+    #[must_use]
+    pub fn changes_since(&self, held: ConfigId) -> Option<DownMessage> {
+        let config = self.config_history.deltas_from(held)?;
+        let members = Vec::new();
+        Some(DownMessage::Update(Update { config, members }))
+    }
+
     /// Returns the number of nodes by served version, over all children and the nodes below them.
     #[must_use]
     pub fn acks(&self) -> AckSummary {
--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -201,6 +201,15 @@
         self.evidence_outbox.discard_outstanding();
     }
 
+    /// Sends the full state again to the parent that accepted this node, as a later attachment than
+    /// those that other peers may have accepted meanwhile.
+    fn renew_attachment(&mut self, link: LinkId) {
+        self.record.attachment += 1;
+        self.record.revision += 1;
+        let hello = UpMessage::Hello(Box::new(self.hello(false)));
+        self.effects.push(NodeEffect::SendUp(link, hello));
+    }
+
     fn hello(&mut self, is_probe: bool) -> Hello {
         if !is_probe {
             self.changes.clear();
@@ -284,7 +293,9 @@
     pub fn on_parent_message(&mut self, now: Timestamp, link: LinkId, message: &DownMessage) {
         match message {
             DownMessage::Welcome => {
-                self.uplink.on_welcome(now, link);
+                if self.uplink.on_welcome(now, link) {
+                    self.renew_attachment(link);
+                }
                 self.needs_early_report = true;
             }
             DownMessage::Redirect(to) => {
@@ -302,6 +313,9 @@
                 self.uplink.on_parent_message(now, link, false);
                 self.on_update(now, update);
             }
+            DownMessage::Update(update) if self.uplink.is_asking(link) => {
+                self.on_update(now, update);
+            }
             DownMessage::ReportReply(_) | DownMessage::Update(_) => {}
         }
         self.apply_link_actions();
@@ -445,7 +459,7 @@
 
     /// Returns whether a parent has accepted this node.
     #[must_use]
-    pub const fn is_attached(&self) -> bool {
+    pub fn is_attached(&self) -> bool {
         self.uplink.attached().is_some()
     }
 
--- a/trefoillock-control/src/parent_event.rs
+++ b/trefoillock-control/src/parent_event.rs
@@ -51,6 +51,8 @@
     RoutingLoop,
     /// A probe found a better parent.
     BetterParent,
+    /// Another peer accepted the node.
+    OtherAttached,
 }
 
 impl fmt::Display for LinkEnd {
@@ -63,6 +65,7 @@
             Self::RedirectLoop => "redirect-loop",
             Self::RoutingLoop => "routing-loop",
             Self::BetterParent => "better-parent",
+            Self::OtherAttached => "other-attached",
         })
     }
 }
--- a/trefoillock-control/src/timing.rs
+++ b/trefoillock-control/src/timing.rs
@@ -24,8 +24,11 @@
 /// The longest time for which a new leader waits for the backend servers in the lists that nodes
 /// hold before it publishes its first member list.
 pub const LEADER_GRACE_LIMIT: Duration = Duration::from_secs(4);
-/// The time within which a parent must accept a child before the child tries another one.
-pub const ATTACH_TIMEOUT: Duration = Duration::from_millis(600);
+/// The time within which a parent must accept a child before the child tries another one as well.
+pub const ATTACH_TIMEOUT: Duration = Duration::from_millis(400);
+/// The time after which a child gives up an attempt to attach. It leaves room for the handshake and
+/// the answer on a link on which packets wait for half a second.
+pub const ATTEMPT_LIFETIME: Duration = Duration::from_secs(2);
 /// The time without a new confirmation of the leader after which a node probes for a better
 /// parent.
 pub const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(4);
--- a/trefoillock-control/src/uplink.rs
+++ b/trefoillock-control/src/uplink.rs
@@ -1,7 +1,11 @@
 //! The search for a parent and the supervision of the connection to it, as a state machine.
 //!
-//! It opens at most one connection to a parent and one probe. A probe asks a control replica for a
-//! better parent while the node stays attached to its present one.
+//! While it is not attached, the node asks one control replica after another. An attempt that is not
+//! answered soon goes on beside the next one, because its answer may only be slow; the first parent
+//! that accepts the node wins.
+//!
+//! While it is attached, the node asks the control replicas for a better parent by probes if its
+//! present one has lost the leader. It stays with its parent until a probe names another one.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -11,15 +15,23 @@
 
 use crate::{
     Backoff, LinkEnd, ParentAddress, ParentEvent,
-    timing::{ATTACH_TIMEOUT, CONFIRMATION_TIMEOUT, PROBE_INTERVAL, SILENCE_TIMEOUT},
+    timing::{
+        ATTACH_TIMEOUT, ATTEMPT_LIFETIME, CONFIRMATION_TIMEOUT, PROBE_INTERVAL, SILENCE_TIMEOUT,
+    },
 };
 
+mod candidates;
+
+use candidates::Candidates;
+
 /// The largest number of redirects that are followed without a backoff delay.
 const MAX_REDIRECTS: u32 = 6;
 /// The largest random jitter added to [`PROBE_INTERVAL`], in milliseconds.
 const PROBE_JITTER_MS: u64 = 3_000;
 /// The number of retry answers of one peer after which another peer is tried.
 const MAX_RETRIES: u32 = 4;
+/// The largest number of attempts, or of probes, that wait for an answer at the same time.
+const MAX_CONCURRENT_LINKS: usize = 3;
 
 /// Identifies a connection to a parent within one process of the node.
 #[data(key)]
@@ -48,33 +60,26 @@
     last_received: Timestamp,
 }
 
-#[derive(Debug, Clone, Copy)]
-enum Phase {
-    Waiting { until: Timestamp },
-    Opening(Link),
-    Attached(Link),
-}
-
 /// Attaches the node to a parent, and to another one when the parent falls silent or has lost its
 /// own path to the leader.
 #[derive(Debug)]
 pub struct Uplink {
-    /// The control replicas from the settings.
-    seeds: Vec<SocketAddr>,
-    /// The control replicas that the leader listed last.
-    learned: Vec<SocketAddr>,
-    /// The learned replicas followed by the remaining seeds, without duplicates.
-    control: Vec<SocketAddr>,
-    alternates: Vec<SocketAddr>,
-    phase: Phase,
-    probe: Option<Link>,
+    candidates: Candidates,
+    parent: Option<Link>,
+    /// The attempts to attach that wait for an answer, oldest first.
+    attempts: Vec<Link>,
+    /// The connection by which the node sent its full state last.
+    last_attempt: Option<LinkId>,
+    next_attempt: Timestamp,
+    /// The probes that wait for an answer, oldest first.
+    probes: Vec<Link>,
+    /// The number of control replicas that the present round of probes has asked.
+    probed: usize,
     next_probe: Timestamp,
     last_confirmed: Timestamp,
     /// The address to try next, if a peer named it; otherwise the candidates are tried in turn.
     target: Option<ParentAddress>,
     avoid: Option<SocketAddr>,
-    /// A running index into the candidates, which are the control replicas and the alternates.
-    next_candidate: usize,
     redirects: u32,
     retries: u32,
     backoff: Backoff,
@@ -89,21 +94,19 @@
     /// Creates an uplink that first tries a randomly chosen control replica.
     #[must_use]
     pub fn new(control: Vec<SocketAddr>, rng: &mut Pcg64Mcg) -> Self {
-        let next_candidate = rng.random_range(0..control.len().max(1));
+        let candidates = Candidates::new(control, rng);
         Self {
-            seeds: control.clone(),
-            learned: Vec::new(),
-            control,
-            alternates: Vec::new(),
-            phase: Phase::Waiting {
-                until: Timestamp::EPOCH,
-            },
-            probe: None,
+            candidates,
+            parent: None,
+            attempts: Vec::new(),
+            last_attempt: None,
+            next_attempt: Timestamp::EPOCH,
+            probes: Vec::new(),
+            probed: 0,
             next_probe: Timestamp::EPOCH,
             last_confirmed: Timestamp::EPOCH,
             target: None,
             avoid: None,
-            next_candidate,
             redirects: 0,
             retries: 0,
             backoff: Backoff::default(),
@@ -114,50 +117,69 @@
         }
     }
 
-    /// Runs the timers: opens a due connection, gives up a silent parent, and starts a due probe.
+    /// Runs the timers: opens due connections, gives up those that are not answered, and starts due
+    /// probes.
     pub fn on_tick(&mut self, now: Timestamp, rng: &mut Pcg64Mcg) {
-        match self.phase {
-            Phase::Waiting { until } if until <= now => self.open(now),
-            Phase::Opening(link) if now.since(link.last_received) >= ATTACH_TIMEOUT => {
-                self.on_failure(now, link, LinkEnd::Silent, rng);
+        match self.parent {
+            Some(link) if now.since(link.last_received) >= SILENCE_TIMEOUT => {
+                self.on_failure(now, link.id, LinkEnd::Silent, rng);
             }
-            Phase::Attached(link) if now.since(link.last_received) >= SILENCE_TIMEOUT => {
-                self.on_failure(now, link, LinkEnd::Silent, rng);
+            Some(link) => self.check_probes(now, link, rng),
+            None => {
+                self.expire_attempts(now, rng);
+                self.open_due_attempt(now);
             }
-            Phase::Attached(_) => self.check_probe(now, rng),
-            Phase::Waiting { .. } | Phase::Opening(_) => {}
         }
     }
 
-    fn open(&mut self, now: Timestamp) {
+    fn expire_attempts(&mut self, now: Timestamp, rng: &mut Pcg64Mcg) {
+        let is_expired = |link: &Link| now.since(link.last_received) >= ATTEMPT_LIFETIME;
+        while let Some(link) = self.attempts.iter().copied().find(is_expired) {
+            self.on_failure(now, link.id, LinkEnd::Silent, rng);
+        }
+    }
+
+    fn open_due_attempt(&mut self, now: Timestamp) {
+        if now < self.next_attempt || self.attempts.len() >= self.max_attempts() {
+            return;
+        }
         let Some(address) = self.target.take().or_else(|| self.next_address()) else {
             return;
         };
+        if let Some(slow) = self.attempts.last().copied() {
+            self.avoid_relay(slow);
+        }
         self.searching_since.get_or_insert(now);
+        self.next_attempt = now + ATTACH_TIMEOUT;
         let link = self.new_link(now, address, false);
-        self.phase = Phase::Opening(link);
+        self.last_attempt = Some(link.id);
+        self.attempts.push(link);
+    }
+
+    /// Returns the number of attempts that may wait for an answer: only one once each control
+    /// replica was tried in vain, so that an outage causes little load.
+    fn max_attempts(&self) -> usize {
+        if self.has_tried_all_replicas() {
+            1
+        } else {
+            MAX_CONCURRENT_LINKS
+        }
+    }
+
+    fn has_tried_all_replicas(&self) -> bool {
+        self.backoff.attempts() as usize > self.candidates.control_count()
     }
 
     /// Returns the next address to try: the control replicas in turn, and the alternates as well
     /// once there were more failed attempts than replicas.
     fn next_address(&mut self) -> Option<ParentAddress> {
-        let is_control_unreachable = self.backoff.attempts() as usize > self.control.len();
-        let alternates = if is_control_unreachable {
-            self.alternates.len()
+        let includes_alternates = self.has_tried_all_replicas();
+        let attempts = &self.attempts;
+        let is_asked = |address| attempts.iter().any(|link| link.address == address);
+        if includes_alternates {
+            self.candidates.next_control_or_alternate(is_asked)
         } else {
-            0
-        };
-        let count = self.control.len() + alternates;
-        let index = self.next_candidate % count.max(1);
-        self.next_candidate = self.next_candidate.wrapping_add(1);
-        let alternate_index = index.checked_sub(self.control.len());
-        match alternate_index {
-            None => self.control.get(index).copied().map(ParentAddress::control),
-            Some(index) => self
-                .alternates
-                .get(index)
-                .copied()
-                .map(ParentAddress::relay),
+            self.candidates.next_control(is_asked)
         }
     }
 
@@ -176,89 +198,133 @@
         }
     }
 
-    fn on_failure(&mut self, now: Timestamp, link: Link, reason: LinkEnd, rng: &mut Pcg64Mcg) {
-        self.leave(now, link, reason);
-        self.stop_probe();
-        self.avoid_failed_relay(link);
+    /// Ends the attachment or an attempt, and schedules the next attempt after a backoff delay.
+    fn on_failure(&mut self, now: Timestamp, id: LinkId, reason: LinkEnd, rng: &mut Pcg64Mcg) {
+        let was_attached = self.attached() == Some(id);
+        let Some(link) = self.end_link(now, id, reason) else {
+            return;
+        };
+        self.avoid_relay(link);
+        if was_attached && !link.address.is_relay() {
+            self.candidates.set_lost(Some(link.address.address));
+        }
         self.redirects = 0;
-        let delay = self.backoff.next_delay(rng);
-        self.schedule_open(now, delay);
+        let peers = self.candidates.control_count();
+        let due = now + self.backoff.next_delay(peers, rng);
+        self.next_attempt = if self.attempts.is_empty() {
+            due
+        } else {
+            self.next_attempt.min(due)
+        };
     }
 
-    /// Closes the connection to the present or attempted parent.
-    fn leave(&mut self, now: Timestamp, link: Link, reason: LinkEnd) {
-        self.actions.push(LinkAction::Close(link.id));
-        let parent = link.address;
-        self.events.push(if self.attached() == Some(link.id) {
+    /// Removes and closes the connection to the parent or that of an attempt, and returns it.
+    fn end_link(&mut self, now: Timestamp, id: LinkId, reason: LinkEnd) -> Option<Link> {
+        if let Some(link) = self.parent.take_if(|link| link.id == id) {
+            self.stop_probes();
             self.searching_since = Some(now);
-            ParentEvent::Lost {
-                parent,
+            self.events.push(ParentEvent::Lost {
+                parent: link.address,
                 reason,
                 unconfirmed: now.since(self.last_confirmed),
-            }
-        } else {
-            ParentEvent::AttemptFailed { parent, reason }
+            });
+            self.actions.push(LinkAction::Close(id));
+            return Some(link);
+        }
+        let index = self.attempts.iter().position(|link| link.id == id)?;
+        let link = self.attempts.remove(index);
+        self.events.push(ParentEvent::AttemptFailed {
+            parent: link.address,
+            reason,
         });
+        self.actions.push(LinkAction::Close(id));
+        Some(link)
     }
 
-    fn avoid_failed_relay(&mut self, link: Link) {
+    fn avoid_relay(&mut self, link: Link) {
         if link.address.is_relay() {
             self.avoid = Some(link.address.address);
         }
     }
 
-    fn schedule_open(&mut self, now: Timestamp, delay: Duration) {
-        self.phase = Phase::Waiting { until: now + delay };
-    }
-
-    /// Starts a probe for a better parent when the present one has not delivered a confirmation
-    /// of the leader for [`CONFIRMATION_TIMEOUT`].
-    fn check_probe(&mut self, now: Timestamp, rng: &mut Pcg64Mcg) {
-        if let Some(link) = self.probe {
-            if now.since(link.last_received) >= ATTACH_TIMEOUT {
-                self.stop_probe();
-            }
+    /// Sends probes for a better parent while the present one has no path to the leader: to one
+    /// control replica after another, and after a whole round again at [`PROBE_INTERVAL`].
+    fn check_probes(&mut self, now: Timestamp, parent: Link, rng: &mut Pcg64Mcg) {
+        if !self.is_cut_off(now) {
+            self.stop_probes();
+            self.next_probe = now;
             return;
         }
-        let is_cut_off = now.since(self.last_confirmed) >= CONFIRMATION_TIMEOUT;
-        if !is_cut_off || now < self.next_probe || self.control.is_empty() {
-            return;
+        let expired = |link: &Link| now.since(link.last_received) >= ATTEMPT_LIFETIME;
+        while let Some(link) = self.probes.iter().copied().find(expired) {
+            self.end_probe(link.id);
         }
-        let jitter = rng.random_range(0..=PROBE_JITTER_MS);
-        self.next_probe = now + PROBE_INTERVAL + Duration::from_millis(jitter);
-        let index = self.next_candidate % self.control.len();
-        self.next_candidate = self.next_candidate.wrapping_add(1);
-        if let Some(address) = self.control.get(index).copied() {
-            let address = ParentAddress::control(address);
-            self.probe = Some(self.new_link(now, address, true));
+        if now < self.next_probe || self.probes.len() >= MAX_CONCURRENT_LINKS {
+            return;
         }
+        let probes = &self.probes;
+        let is_asked = |address| probes.iter().any(|link| link.address == address);
+        let Some(address) = self.candidates.next_control(is_asked) else {
+            return;
+        };
+        self.avoid_relay(parent);
+        let link = self.new_link(now, address, true);
+        self.probes.push(link);
+        self.probed += 1;
+        self.next_probe = if self.probed < self.candidates.control_count() {
+            now + ATTACH_TIMEOUT
+        } else {
+            self.probed = 0;
+            now + PROBE_INTERVAL + Duration::from_millis(rng.random_range(0..=PROBE_JITTER_MS))
+        };
     }
 
-    fn stop_probe(&mut self) {
-        if let Some(link) = self.probe.take() {
-            self.actions.push(LinkAction::Close(link.id));
-        }
+    /// Returns whether the parent has had no path to the leader for too long.
+    fn is_cut_off(&self, now: Timestamp) -> bool {
+        now.since(self.last_confirmed) >= CONFIRMATION_TIMEOUT
     }
 
-    /// Handles a parent's acceptance of this node.
-    pub fn on_welcome(&mut self, now: Timestamp, id: LinkId) {
-        if let Phase::Opening(link) = self.phase
-            && link.id == id
-        {
-            self.phase = Phase::Attached(Link {
-                last_received: now,
-                ..link
-            });
-            self.last_confirmed = now;
-            let searching_since = self.searching_since.take();
-            self.events.push(ParentEvent::Attached {
-                parent: link.address,
-                unattached: now.since(searching_since.unwrap_or(now)),
-            });
-            self.redirects = 0;
-            self.retries = 0;
-            self.backoff.reset();
+    fn stop_probes(&mut self) {
+        let probes = std::mem::take(&mut self.probes);
+        let closed = probes.iter().map(|link| LinkAction::Close(link.id));
+        self.actions.extend(closed);
+        self.probed = 0;
+    }
+
+    fn end_probe(&mut self, id: LinkId) -> Option<Link> {
+        let index = self.probes.iter().position(|link| link.id == id)?;
+        self.actions.push(LinkAction::Close(id));
+        Some(self.probes.remove(index))
+    }
+
+    /// Handles a parent's acceptance of this node. Returns whether the parent must be sent the full
+    /// state anew, because it was sent to another peer after this one.
+    #[must_use]
+    pub fn on_welcome(&mut self, now: Timestamp, id: LinkId) -> bool {
+        let Some(index) = self.attempts.iter().position(|link| link.id == id) else {
+            return false;
+        };
+        let link = Link {
+            last_received: now,
+            ..self.attempts.remove(index)
+        };
+        while let Some(other) = self.attempts.last().copied() {
+            self.end_link(now, other.id, LinkEnd::OtherAttached);
         }
+        self.parent = Some(link);
+        self.last_confirmed = now;
+        self.next_probe = now;
+        let searching_since = self.searching_since.take();
+        self.events.push(ParentEvent::Attached {
+            parent: link.address,
+            unattached: now.since(searching_since.unwrap_or(now)),
+        });
+        self.candidates.set_lost(None);
+        self.target = None;
+        self.redirects = 0;
+        self.retries = 0;
+        self.backoff.reset();
+        self.last_attempt != Some(id)
     }
 
     /// Handles a redirect: connects to the given parent, or backs off after too many redirects.
@@ -269,74 +335,70 @@
         to: ParentAddress,
         rng: &mut Pcg64Mcg,
     ) {
-        if let Some(probe) = self.probe.filter(|probe| probe.id == id) {
-            self.stop_probe();
+        if let Some(probe) = self.end_probe(id) {
             self.on_probe_redirect(now, probe, to);
             return;
         }
-        let Some(link) = self.current().filter(|link| link.id == id) else {
+        let Some(link) = self.link(id) else {
             return;
         };
         self.redirects += 1;
-        let is_loop = self.redirects > MAX_REDIRECTS || to == link.address;
-        if is_loop {
-            self.leave(now, link, LinkEnd::RedirectLoop);
-            self.redirects = 0;
-            let delay = self.backoff.next_delay(rng);
-            self.schedule_open(now, delay);
+        if self.redirects > MAX_REDIRECTS || to == link.address {
+            self.on_failure(now, id, LinkEnd::RedirectLoop, rng);
             return;
         }
-        self.leave(now, link, LinkEnd::Redirected);
-        self.target = Some(to);
-        self.schedule_open(now, Duration::ZERO);
+        self.end_link(now, id, LinkEnd::Redirected);
+        if self.attempts.iter().all(|link| link.address != to) {
+            self.target = Some(to);
+            self.next_attempt = now;
+        }
     }
 
     /// Sends the probe on to the leader, or attaches to the parent that the leader chose.
     fn on_probe_redirect(&mut self, now: Timestamp, probe: Link, to: ParentAddress) {
-        let Phase::Attached(link) = self.phase else {
+        let Some(parent) = self.parent else {
             return;
         };
         let is_to_leader = !to.is_relay() && to != probe.address;
         if is_to_leader && self.redirects < MAX_REDIRECTS {
-            self.redirects += 1;
-            self.probe = Some(self.new_link(now, to, true));
-        } else if to != link.address {
+            if self.probes.iter().all(|link| link.address != to) {
+                self.redirects += 1;
+                let link = self.new_link(now, to, true);
+                self.probes.push(link);
+            }
+        } else if to != parent.address {
             self.redirects = 0;
-            self.avoid_failed_relay(link);
-            self.leave(now, link, LinkEnd::BetterParent);
+            self.avoid_relay(parent);
+            self.end_link(now, parent.id, LinkEnd::BetterParent);
             self.target = Some(to);
-            self.schedule_open(now, Duration::ZERO);
+            self.next_attempt = now;
         }
     }
 
     /// Handles a retry answer: waits for the given time plus up to a quarter of it as jitter, so
     /// that many nodes that were rejected together do not return together.
     pub fn on_retry(&mut self, now: Timestamp, id: LinkId, after: Duration, rng: &mut Pcg64Mcg) {
-        if self.probe.is_some_and(|probe| probe.id == id) {
-            self.stop_probe();
+        if self.end_probe(id).is_some() {
             return;
         }
-        let Some(link) = self.current().filter(|link| link.id == id) else {
+        let Some(link) = self.end_link(now, id, LinkEnd::Retry) else {
             return;
         };
-        self.leave(now, link, LinkEnd::Retry);
         let max_jitter_ms = u64::try_from(after.as_millis() / 4).unwrap_or(u64::MAX);
         let jitter = Duration::from_millis(rng.random_range(0..=max_jitter_ms));
         self.retries += 1;
         self.target = (self.retries < MAX_RETRIES).then_some(link.address);
         if self.target.is_none() {
             self.retries = 0;
-            self.avoid_failed_relay(link);
+            self.avoid_relay(link);
         }
         self.redirects = 0;
-        self.schedule_open(now, after + jitter);
+        self.next_attempt = now + after + jitter;
     }
 
     /// Records a message of the parent; `is_confirmed` tells whether it confirmed a new round.
     pub fn on_parent_message(&mut self, now: Timestamp, id: LinkId, is_confirmed: bool) {
-        if let Phase::Attached(link) = &mut self.phase
-            && link.id == id
-        {
+        if let Some(link) = self.parent.as_mut().filter(|link| link.id == id) {
             link.last_received = now;
             if is_confirmed {
                 self.last_confirmed = now;
@@ -346,71 +408,56 @@
 
     /// Leaves a parent whose path to the leader leads through this node.
     pub fn on_routing_loop(&mut self, now: Timestamp, id: LinkId, rng: &mut Pcg64Mcg) {
-        self.alternates.clear();
-        self.on_ended(now, id, LinkEnd::RoutingLoop, rng);
+        self.candidates.set_alternates(&[]);
+        self.on_failure(now, id, LinkEnd::RoutingLoop, rng);
     }
 
     /// Handles the end of a connection.
     pub fn on_closed(&mut self, now: Timestamp, id: LinkId, rng: &mut Pcg64Mcg) {
-        self.on_ended(now, id, LinkEnd::Closed, rng);
-    }
-
-    fn on_ended(&mut self, now: Timestamp, id: LinkId, reason: LinkEnd, rng: &mut Pcg64Mcg) {
-        if self.probe.is_some_and(|probe| probe.id == id) {
-            self.probe = None;
-        } else if let Some(link) = self.current().filter(|link| link.id == id) {
-            self.on_failure(now, link, reason, rng);
+        if self.end_probe(id).is_none() {
+            self.on_failure(now, id, LinkEnd::Closed, rng);
         }
     }
 
     /// Sets the relays to try when no control replica answers.
     pub fn set_alternates(&mut self, alternates: &[SocketAddr]) {
-        self.alternates.clear();
-        self.alternates.extend_from_slice(alternates);
+        self.candidates.set_alternates(alternates);
     }
 
     /// Sets the control replicas that the leader listed; those from the settings are kept too.
     pub fn set_learned_control(&mut self, learned: &[SocketAddr]) {
-        if !learned.is_empty() && learned != self.learned {
-            self.learned = learned.to_vec();
-            self.rebuild_control();
-        }
+        self.candidates.set_learned(learned);
     }
 
     /// Replaces the control replicas from the settings.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
-        self.seeds = seeds;
-        self.rebuild_control();
-    }
-
-    fn rebuild_control(&mut self) {
-        self.control.clone_from(&self.learned);
-        let missing = self
-            .seeds
-            .iter()
-            .filter(|seed| !self.learned.contains(seed));
-        self.control.extend(missing);
+        self.candidates.set_seeds(seeds);
     }
 
     /// Returns the control replicas that the leader listed last.
     #[must_use]
     pub fn learned_control(&self) -> &[SocketAddr] {
-        &self.learned
+        self.candidates.learned()
     }
 
     /// Returns the connection to the parent that accepted this node, if it is attached.
     #[must_use]
-    pub const fn attached(&self) -> Option<LinkId> {
-        match self.phase {
-            Phase::Attached(link) => Some(link.id),
-            Phase::Waiting { .. } | Phase::Opening(_) => None,
-        }
+    pub fn attached(&self) -> Option<LinkId> {
+        self.parent.map(|link| link.id)
     }
 
-    /// Returns the address of the present or attempted parent, if it is a relay.
+    /// Returns whether a connection is that of an attempt or a probe that waits for an answer.
+    #[must_use]
+    pub fn is_asking(&self, id: LinkId) -> bool {
+        let mut links = self.attempts.iter().chain(&self.probes);
+        links.any(|link| link.id == id)
+    }
+
+    /// Returns the address of the present parent, or of the one that was asked last, if it is a
+    /// relay.
     #[must_use]
     pub fn parent_relay(&self) -> Option<SocketAddr> {
-        let link = self.current()?;
+        let link = self.parent.or(self.attempts.last().copied())?;
         link.address.is_relay().then_some(link.address.address)
     }
 
@@ -430,10 +477,9 @@
         std::mem::take(&mut self.events)
     }
 
-    const fn current(&self) -> Option<Link> {
-        match self.phase {
-            Phase::Opening(link) | Phase::Attached(link) => Some(link),
-            Phase::Waiting { .. } => None,
-        }
+    /// Returns the connection to the parent or that of an attempt.
+    fn link(&self, id: LinkId) -> Option<Link> {
+        let mut links = self.parent.iter().chain(&self.attempts);
+        links.find(|link| link.id == id).copied()
     }
 }
