fix(control): leave a relay that has searched for a parent for a second

What callers saw: a route that had been acknowledged was answered with 404 for up to 4 s at the nodes below a relay that had lost the leader, while these nodes were in touch with everybody else.

Cause: a child stays with a relay that answers it, and asks for another parent only once no leader has confirmed anything for 4 s. A version must be in force 2 s after its acknowledgement. A shorter limit on the confirmation would make the whole tree ask at each change of leader.

Fix: a relay tells its children for how long it, or a relay above it, has searched for a parent. A relay that finds a parent tells its children at once.

--- a/trefoillock-control/src/control_machine.rs
+++ b/trefoillock-control/src/control_machine.rs
@@ -412,7 +412,10 @@
             alternates: self.alternates(key),
             control: self.replicas.clone(),
         };
-        if let Some(reply) = self.distributor.reply(key, min_versions, route) {
+        if let Some(reply) = self
+            .distributor
+            .reply(key, min_versions, Duration::ZERO, route)
+        {
             let reply = DownMessage::ReportReply(Box::new(reply));
             self.effects.push(ControlEffect::Send(key, reply));
         }
--- a/trefoillock-control/src/distributor.rs
+++ b/trefoillock-control/src/distributor.rs
@@ -182,11 +182,15 @@
     }
 
     /// Creates the reply to a report of a child; `None` if the child is unknown.
+    ///
+    /// `searching` is the time for which this process, or a relay above it, has searched for a
+    /// parent.
     #[must_use]
     pub fn reply(
         &mut self,
         key: ChildKey,
         min_versions: MinVersions,
+        searching: Duration,
         route: Route,
     ) -> Option<ReportReply> {
         let child = self.children.get_mut(&key)?;
@@ -195,6 +199,7 @@
             min_versions,
             acknowledged_evidence: child.last_evidence(),
             needs_hello: child.needs_hello(),
+            searching_ms: u64::try_from(searching.as_millis()).unwrap_or(u64::MAX),
             route: child.route_update(route),
         })
     }
--- a/trefoillock-control/src/message.rs
+++ b/trefoillock-control/src/message.rs
@@ -264,6 +264,10 @@
     /// subtree differ.
     #[serde(rename = "w", default, skip_serializing_if = "is_default")]
     pub needs_hello: bool,
+    /// For how long the parent, or a relay above it, has searched for a parent, in milliseconds; zero
+    /// if the path to the leader is complete.
+    #[serde(rename = "d", default, skip_serializing_if = "is_default")]
+    pub searching_ms: u64,
     /// The route to the leader; `None` if it did not change and was sent recently.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub route: Option<Route>,
--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -297,6 +297,7 @@
                     self.renew_attachment(link);
                 }
                 self.needs_early_report = true;
+                self.reply_to_children(now);
             }
             DownMessage::Redirect(to) => {
                 self.uplink.on_redirect(now, link, *to, &mut self.rng);
@@ -342,6 +343,8 @@
         }
         let is_confirmed = reply.confirmed_round > self.confirmed_round;
         self.uplink.on_parent_message(now, link, is_confirmed);
+        let searching = Duration::from_millis(reply.searching_ms);
+        self.uplink.set_parent_search(now, searching);
         self.evidence_outbox
             .acknowledge(reply.acknowledged_evidence);
         if is_confirmed {
@@ -353,7 +356,7 @@
             self.members.confirm(reply.min_versions.members);
             self.needs_early_report |= self.config.serving_version() != before;
             self.distributor.confirm(self.confirmed_round);
-            self.reply_to_awaiting_children();
+            self.reply_to_awaiting_children(now);
         }
         if reply.needs_hello {
             let hello = UpMessage::Hello(Box::new(self.hello(false)));
--- a/trefoillock-control/src/node_machine/relay.rs
+++ b/trefoillock-control/src/node_machine/relay.rs
@@ -64,13 +64,13 @@
             self.evidence_outbox.add(&batch.evidence, batch.crashes);
         }
         self.needs_early_report |= self.distributor.awaits_confirmation();
-        self.send_reply(key);
+        self.send_reply(now, key);
         if let Some(update) = self.distributor.due_update(now, key) {
             self.effects.push(NodeEffect::SendDown(key, update));
         }
     }
 
-    fn send_reply(&mut self, key: ChildKey) {
+    fn send_reply(&mut self, now: Timestamp, key: ChildKey) {
         let is_attached = self.uplink.attached().is_some();
         let mut route = Route {
             path: if is_attached {
@@ -84,21 +84,33 @@
         route.path.push(self.record.node.clone());
         route.alternates.extend(&self.alternates);
         route.alternates.truncate(MAX_ALTERNATES);
-        if let Some(reply) = self.distributor.reply(key, self.min_versions, route) {
+        let searching = self.uplink.search_duration(now);
+        if let Some(reply) = self
+            .distributor
+            .reply(key, self.min_versions, searching, route)
+        {
             let reply = DownMessage::ReportReply(Box::new(reply));
             self.effects.push(NodeEffect::SendDown(key, reply));
         }
     }
 
+    /// Tells all children that the path to the leader has changed.
+    pub(super) fn reply_to_children(&mut self, now: Timestamp) {
+        let children: Vec<ChildKey> = self.distributor.children().map(|(key, _)| key).collect();
+        for key in children {
+            self.send_reply(now, key);
+        }
+    }
+
     /// Replies at once to children that serve nothing until a round is confirmed.
-    pub(super) fn reply_to_awaiting_children(&mut self) {
+    pub(super) fn reply_to_awaiting_children(&mut self, now: Timestamp) {
         let children = self.distributor.children();
         let awaiting: Vec<ChildKey> = children
             .filter(|(_, child)| child.awaits_confirmation())
             .map(|(key, _)| key)
             .collect();
         for key in awaiting {
-            self.send_reply(key);
+            self.send_reply(now, key);
         }
     }
 
--- a/trefoillock-control/src/timing.rs
+++ b/trefoillock-control/src/timing.rs
@@ -29,6 +29,9 @@
 /// The time after which a child gives up an attempt to attach. It leaves room for the handshake and
 /// the answer on a link on which packets wait for half a second.
 pub const ATTEMPT_LIFETIME: Duration = Duration::from_secs(2);
+/// The time for which a parent may search for a parent of its own before its children look for a
+/// better one.
+pub const PARENT_SEARCH_LIMIT: Duration = Duration::from_secs(1);
 /// The time without a new confirmation of the leader after which a node probes for a better
 /// parent.
 pub const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(4);
--- a/trefoillock-control/src/uplink.rs
+++ b/trefoillock-control/src/uplink.rs
@@ -16,7 +16,8 @@
 use crate::{
     Backoff, LinkEnd, ParentAddress, ParentEvent,
     timing::{
-        ATTACH_TIMEOUT, ATTEMPT_LIFETIME, CONFIRMATION_TIMEOUT, PROBE_INTERVAL, SILENCE_TIMEOUT,
+        ATTACH_TIMEOUT, ATTEMPT_LIFETIME, CONFIRMATION_TIMEOUT, PARENT_SEARCH_LIMIT,
+        PROBE_INTERVAL, SILENCE_TIMEOUT,
     },
 };
 
@@ -28,6 +29,9 @@
 const MAX_REDIRECTS: u32 = 6;
 /// The largest random jitter added to [`PROBE_INTERVAL`], in milliseconds.
 const PROBE_JITTER_MS: u64 = 3_000;
+/// The largest random jitter added to [`PARENT_SEARCH_LIMIT`], in milliseconds. It spreads the
+/// probes of the nodes below one relay.
+const SEARCH_JITTER_MS: u64 = 200;
 /// The number of retry answers of one peer after which another peer is tried.
 const MAX_RETRIES: u32 = 4;
 /// The largest number of attempts, or of probes, that wait for an answer at the same time.
@@ -77,6 +81,10 @@
     probed: usize,
     next_probe: Timestamp,
     last_confirmed: Timestamp,
+    /// Since when the parent, or a relay above it, has searched for a parent of its own.
+    parent_searching_since: Option<Timestamp>,
+    /// [`PARENT_SEARCH_LIMIT`] plus the jitter of this node.
+    parent_search_limit: Duration,
     /// The address to try next, if a peer named it; otherwise the candidates are tried in turn.
     target: Option<ParentAddress>,
     avoid: Option<SocketAddr>,
@@ -95,6 +103,7 @@
     #[must_use]
     pub fn new(control: Vec<SocketAddr>, rng: &mut Pcg64Mcg) -> Self {
         let candidates = Candidates::new(control, rng);
+        let jitter = Duration::from_millis(rng.random_range(0..=SEARCH_JITTER_MS));
         Self {
             candidates,
             parent: None,
@@ -105,6 +114,8 @@
             probed: 0,
             next_probe: Timestamp::EPOCH,
             last_confirmed: Timestamp::EPOCH,
+            parent_searching_since: None,
+            parent_search_limit: PARENT_SEARCH_LIMIT + jitter,
             target: None,
             avoid: None,
             redirects: 0,
@@ -222,6 +233,7 @@
     fn end_link(&mut self, now: Timestamp, id: LinkId, reason: LinkEnd) -> Option<Link> {
         if let Some(link) = self.parent.take_if(|link| link.id == id) {
             self.stop_probes();
+            self.parent_searching_since = None;
             self.searching_since = Some(now);
             self.events.push(ParentEvent::Lost {
                 parent: link.address,
@@ -281,7 +293,9 @@
 
     /// Returns whether the parent has had no path to the leader for too long.
     fn is_cut_off(&self, now: Timestamp) -> bool {
-        now.since(self.last_confirmed) >= CONFIRMATION_TIMEOUT
+        let is_over_limit = |since| now.since(since) >= self.parent_search_limit;
+        self.parent_searching_since.is_some_and(is_over_limit)
+            || now.since(self.last_confirmed) >= CONFIRMATION_TIMEOUT
     }
 
     fn stop_probes(&mut self) {
@@ -406,6 +420,20 @@
         }
     }
 
+    /// Records for how long the parent, or a relay above it, has searched for a parent of its own;
+    /// zero if the path to the leader is complete.
+    pub fn set_parent_search(&mut self, now: Timestamp, duration: Duration) {
+        self.parent_searching_since = (!duration.is_zero()).then(|| now - duration);
+    }
+
+    /// Returns for how long this node, or a relay above it, has searched for a parent; zero if the
+    /// path to the leader is complete as far as this node knows.
+    #[must_use]
+    pub fn search_duration(&self, now: Timestamp) -> Duration {
+        let since = self.searching_since.or(self.parent_searching_since);
+        since.map(|since| now.since(since)).unwrap_or_default()
+    }
+
     /// Leaves a parent whose path to the leader leads through this node.
     pub fn on_routing_loop(&mut self, now: Timestamp, id: LinkId, rng: &mut Pcg64Mcg) {
         self.candidates.set_alternates(&[]);
--- a/trefoillock-control/tests/restart.rs
+++ b/trefoillock-control/tests/restart.rs
@@ -66,6 +66,7 @@
             members: MembersVersion::default(),
         },
         acknowledged_evidence: 0,
+        searching_ms: 0,
         needs_hello: false,
         route: None,
     }))
