fix(roles): keep evidence and acknowledgements of guards while the lease lapses

The leader dropped its evidence on moves, its crash counts and the acknowledgements of guards when the lease ended, and again when it was back 15 ms later in the same term.

Fix: they are discarded when the replica begins to lead in another term than the last one in which it led. No other replica leads in between in one term.

Test: a_lapse_of_the_lease_begins_no_new_leadership (new; it does not compile before).

--- a/trefoillock-roles/src/guard_driver.rs
+++ b/trefoillock-roles/src/guard_driver.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::sync::watch;
-use trefoillock_core::{Guard, GuardTable, Map, Term};
+use trefoillock_core::{Guard, GuardTable, Map};
 use trefoillock_node::ask_guard_acks;
 use trefoillock_policy::{DeadGuards, GuardAck, GuardAcks, plan_guards};
 use trefoillock_process::Event;
@@ -15,7 +15,11 @@
 use trefoillock_rpc::{RpcClient, TrafficCounter};
 use trefoillock_store::{Command, CommandAnswer};
 
-use crate::{leadership::Leadership, process_context::ProcessContext, shared_store::SharedStore};
+use crate::{
+    leadership::{LastLedTerm, Leadership},
+    process_context::ProcessContext,
+    shared_store::SharedStore,
+};
 
 /// The time between two plans of the guard sets.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
@@ -28,7 +32,7 @@
     traffic: Arc<TrafficCounter>,
     acks: GuardAcks,
     clients: Map<SocketAddr, RpcClient>,
-    term: Option<Term>,
+    last_led_term: LastLedTerm,
 }
 
 impl GuardDriver {
@@ -45,12 +49,12 @@
             traffic,
             acks: GuardAcks::new(),
             clients: Map::default(),
-            term: None,
+            last_led_term: LastLedTerm::default(),
         }
     }
 
-    /// Runs until the process shuts down. Acknowledgements of guards are discarded when the term
-    /// changes.
+    /// Runs until the process shuts down. Acknowledgements of guards are discarded when this replica
+    /// begins to lead in a new term.
     pub(crate) async fn run(
         mut self,
         leadership: watch::Receiver<Leadership>,
@@ -65,13 +69,12 @@
             .await
             .is_some()
         {
-            let term = leadership.borrow().term;
-            if term != self.term {
-                self.term = term;
+            let leadership = *leadership.borrow();
+            if self.last_led_term.begins_anew(leadership) {
                 self.acks = GuardAcks::new();
             }
             let live = live.borrow().clone();
-            if term.is_some() && !live.is_empty() {
+            if leadership.term.is_some() && !live.is_empty() {
                 self.plan_and_propose(&live).await;
             }
         }
--- a/trefoillock-roles/src/leader_driver.rs
+++ b/trefoillock-roles/src/leader_driver.rs
@@ -14,7 +14,7 @@
 use trefoillock_control::{ControlOutputs, FleetStatus};
 use trefoillock_core::{
     Config, CrashReport, Evidence, Fingerprint, Members, Move, MoveStep, Rollout, RolloutStep,
-    ServiceName, Term, Timestamp,
+    ServiceName, Timestamp,
 };
 use trefoillock_moves::{EvidenceCoverage, MoveController, RolloutController};
 use trefoillock_policy::{BurnMeter, CrashCounter};
@@ -24,7 +24,9 @@
 use trefoillock_store::Command;
 
 use crate::{
-    leadership::Leadership, move_event_log::MoveEventLog, process_context::ProcessContext,
+    leadership::{LastLedTerm, Leadership},
+    move_event_log::MoveEventLog,
+    process_context::ProcessContext,
     shared_store::SharedStore,
 };
 
@@ -52,7 +54,8 @@
     rollout_controller: RolloutController,
     crash_counter: CrashCounter,
     move_events: MoveEventLog,
-    term: Option<Term>,
+    is_leading: bool,
+    last_led_term: LastLedTerm,
 }
 
 impl LeaderDriver {
@@ -74,7 +77,8 @@
             rollout_controller: RolloutController::new(),
             crash_counter: CrashCounter::new(),
             move_events,
-            term: None,
+            is_leading: false,
+            last_led_term: LastLedTerm::default(),
         }
     }
 
@@ -90,7 +94,7 @@
                     self.record_crash(&crash, &channels.quarantined);
                 }
                 _ = tick.tick() => {
-                    self.reset_on_new_term(channels.leadership.borrow_and_update().term);
+                    self.update_leadership(*channels.leadership.borrow_and_update());
                     let members = channels.outputs.members.borrow_and_update().clone();
                     let fleet = channels.outputs.fleet.borrow_and_update().clone();
                     self.decide_and_propose(&members, &fleet).await;
@@ -99,11 +103,11 @@
         }
     }
 
-    /// Discards the evidence on moves and the crash counts when the term changes. What an earlier
-    /// leader received is not replicated, so each leader starts without any.
-    fn reset_on_new_term(&mut self, term: Option<Term>) {
-        if term != self.term {
-            self.term = term;
+    /// Discards the evidence on moves and the crash counts when this replica begins to lead in a new
+    /// term. What an earlier leader received is not replicated, so each leader starts without any.
+    fn update_leadership(&mut self, leadership: Leadership) {
+        self.is_leading = leadership.term.is_some();
+        if self.last_led_term.begins_anew(leadership) {
             self.move_controller = MoveController::new();
             self.crash_counter = CrashCounter::new();
         }
@@ -152,7 +156,7 @@
         let rollouts = self.store.lock().rollouts().clone();
         let now = self.context.clock.now();
         self.rollout_controller.track(now, &rollouts);
-        if self.term.is_none() || !fleet.is_leading {
+        if !self.is_leading || !fleet.is_leading {
             return;
         }
         self.move_events.log_changes(&moves);
--- a/trefoillock-roles/src/leadership.rs
+++ b/trefoillock-roles/src/leadership.rs
@@ -32,6 +32,23 @@
     pub(crate) term: Option<Term>,
 }
 
+/// The term in which this replica led last. It stays the same while the lease lapses, since no
+/// other replica leads in that term.
+#[derive(Debug, Default)]
+pub(crate) struct LastLedTerm(Option<Term>);
+
+impl LastLedTerm {
+    /// Returns whether this replica begins to lead in another term than the last one in which it led.
+    /// What it learned as leader of that term then no longer holds.
+    pub(crate) fn begins_anew(&mut self, leadership: Leadership) -> bool {
+        let is_new = leadership.term.is_some() && leadership.term != self.0;
+        if is_new {
+            self.0 = leadership.term;
+        }
+        is_new
+    }
+}
+
 /// Why this replica does not count as leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Unconfirmed {
--- a/trefoillock-roles/src/leadership/tests.rs
+++ b/trefoillock-roles/src/leadership/tests.rs
@@ -10,7 +10,7 @@
 use trefoillock_replica::{Membership, ReplicaRole, ReplicaStatus};
 use trefoillock_store::{Command, TableStore};
 
-use super::{Unconfirmed, leadership_role, read_config_after};
+use super::{LastLedTerm, Leadership, Unconfirmed, leadership_role, read_config_after};
 
 /// Returns the configuration after an edit at the given log index.
 fn config(index: u64) -> Arc<Config> {
@@ -74,3 +74,16 @@
     let role = leadership_role(&follower, Err(Unconfirmed::Follower));
     assert_eq!(role, LeadershipRole::Following { leader: None });
 }
+
+#[test]
+fn a_lapse_of_the_lease_begins_no_new_leadership() {
+    let in_term = |term| Leadership {
+        term: Some(Term::new(term)),
+    };
+    let mut last_led_term = LastLedTerm::default();
+    assert!(!last_led_term.begins_anew(Leadership::default()));
+    assert!(last_led_term.begins_anew(in_term(4)));
+    assert!(!last_led_term.begins_anew(Leadership::default()));
+    assert!(!last_led_term.begins_anew(in_term(4)));
+    assert!(last_led_term.begins_anew(in_term(6)));
+}
