fix(control): publish no member list before a node has attached to a new leader

What callers would see: refusals after a change of leader, since the first nodes to attach get a list that lacks the backend servers of the others.

Cause: after 0.3 s a new leader publishes its list if it has heard of all servers that nodes know of. While no node has attached, both numbers are zero, so it published an empty list. From then on each change is published, also one with a part of the servers. Nodes notice the silent loss of a leader after 1.2 s, so this was the rule after such a loss.

Fix: the conditions hold only once a server is announced. The limit of 4 s stays.

Test: a_new_leader_publishes_no_member_list_before_a_node_has_attached failed before (1 of 1).

--- a/trefoillock-control/src/control_machine.rs
+++ b/trefoillock-control/src/control_machine.rs
@@ -484,13 +484,15 @@
         let announced = self.node_table.announced_servers() as u64 * 100;
         let known = u64::from(self.max_servers_known);
         // In a newly started fleet no node holds a list, so an incomplete one is better than none.
-        let is_new_fleet = known == 0 && announced > 0;
+        let is_new_fleet = known == 0;
         let is_complete = announced >= known * 100;
         let is_mostly_complete = announced >= known * PARTIAL_FLEET_PERCENT;
-        elapsed >= LEADER_GRACE_LIMIT
-            || (elapsed >= NEW_FLEET_GRACE && is_new_fleet)
-            || (elapsed >= LEADER_GRACE && is_complete)
-            || (elapsed >= PARTIAL_FLEET_GRACE && is_mostly_complete)
+        // Before a node has attached, neither its servers nor those that it knows are counted.
+        let is_enough = announced > 0
+            && ((elapsed >= NEW_FLEET_GRACE && is_new_fleet)
+                || (elapsed >= LEADER_GRACE && is_complete)
+                || (elapsed >= PARTIAL_FLEET_GRACE && is_mostly_complete));
+        is_enough || elapsed >= LEADER_GRACE_LIMIT
     }
 
     fn publish(&mut self, now: Timestamp) {
--- a/trefoillock-control/tests/new_fleet.rs
+++ b/trefoillock-control/tests/new_fleet.rs
@@ -158,3 +158,13 @@
     assert!(time_to_first_list(0) < LEADER_GRACE);
     assert!(time_to_first_list(1) >= LEADER_GRACE);
 }
+
+#[test]
+fn a_new_leader_publishes_no_member_list_before_a_node_has_attached() {
+    let mut machine = machine();
+    machine.set_state(START, &leading_state());
+    machine.on_tick(START + LEADER_GRACE);
+    machine.on_child_message(START + LEADER_GRACE, NODE, &hello(2));
+    machine.on_tick(START + LEADER_GRACE * 2);
+    assert!(machine.members().servers.is_empty());
+}
