fix(control,roles): do not take an unknown fleet for one that serves a version

What operators saw: an acknowledgement right after an election, while no node had the change yet. The 2 s within which it must be in force began too early.

Cause: the acknowledgement of a document waits up to 0.7 s until all known nodes serve it. A new leader knows no node at first, so zero of zero nodes counted as all.

Fix: a version is in force only if the leader knows the fleet, that is, has published a member list. The limit of 0.7 s stays.

Test: a_version_is_not_in_force_before_a_new_leader_knows_the_fleet (new, with FleetStatus::is_in_force; it does not compile before).

--- a/trefoillock-control/src/control_machine.rs
+++ b/trefoillock-control/src/control_machine.rs
@@ -573,6 +573,7 @@
             .unwrap_or_default();
         FleetStatus::new(
             self.is_leading(),
+            self.has_published,
             newest,
             &self.distributor.acks(),
             &self.node_table,
--- a/trefoillock-control/src/fleet_status.rs
+++ b/trefoillock-control/src/fleet_status.rs
@@ -13,6 +13,9 @@
 pub struct FleetStatus {
     /// Whether the reporting replica is the leader; the other fields are meaningful only then.
     pub is_leading: bool,
+    /// Whether enough of the fleet has attached to the reporting replica since it began to lead for
+    /// it to publish a member list.
+    pub knows_fleet: bool,
     /// The newest version of the configuration.
     pub newest: ConfigVersion,
     /// The number of known nodes, including lost nodes whose lease has not expired.
@@ -36,6 +39,7 @@
     #[must_use]
     pub fn new(
         is_leading: bool,
+        knows_fleet: bool,
         newest: ConfigVersion,
         acks: &AckSummary,
         node_table: &NodeTable,
@@ -43,6 +47,7 @@
         let lagging = acks.slowest.iter().filter(|(version, _)| *version < newest);
         Self {
             is_leading,
+            knows_fleet,
             newest,
             nodes: u32::try_from(node_table.len()).unwrap_or(u32::MAX),
             current: acks.nodes_at_least(newest),
@@ -65,6 +70,13 @@
         self.is_leading && is_complete && self.current == self.nodes && self.lagging.is_empty()
     }
 
+    /// Returns whether every known node serves a version or a newer one, and the fleet is known.
+    #[must_use]
+    pub fn is_in_force(&self, version: ConfigVersion) -> bool {
+        let is_known = self.is_leading && self.knows_fleet && self.newest >= version;
+        is_known && self.versions.nodes_at_least(version) >= self.nodes
+    }
+
     /// Returns the node with the oldest version, if any node lags behind the newest.
     #[must_use]
     pub fn slowest(&self) -> Option<&(ConfigVersion, NodeId)> {
--- a/trefoillock-control/tests/new_fleet.rs
+++ b/trefoillock-control/tests/new_fleet.rs
@@ -5,14 +5,15 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use trefoillock_control::{
-    ChildKey, ChildState, ControlEffect, ControlMachine, ControlState, DownMessage, Hello,
-    LeadershipRole, NodeRecord, Repair, Report, UpMessage,
-    timing::{ATTACH_TIMEOUT, LEADER_GRACE},
+    AckSummary, ChildKey, ChildState, ControlEffect, ControlMachine, ControlState, DownMessage,
+    Hello, LeadershipRole, NodeRecord, Repair, Report, UpMessage,
+    timing::{ATTACH_TIMEOUT, LEADER_GRACE, LEADER_GRACE_LIMIT},
 };
-use trefoillock_core::{Config, Incarnation, Term, Timestamp};
+use trefoillock_core::{Config, ConfigVersion, Incarnation, Term, Timestamp};
 
 const START: Timestamp = Timestamp::from_secs(1_000);
 const NODE: ChildKey = ChildKey::new(1);
+const OTHER_NODE: ChildKey = ChildKey::new(2);
 
 fn control_address() -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 9], 7_000))
@@ -34,11 +35,15 @@
     state(LeadershipRole::Leading { term: Term::new(3) })
 }
 
-/// Returns the hello of a node that holds a member list with a number of backend servers.
 fn hello(servers_known: u32) -> UpMessage {
-    let address = SocketAddr::from(([10, 0, 0, 1], 7_000));
+    hello_of(1, servers_known)
+}
+
+/// Returns the hello of a node that holds a member list with a number of backend servers.
+fn hello_of(vm: u8, servers_known: u32) -> UpMessage {
+    let address = SocketAddr::from(([10, 0, 0, vm], 7_000));
     let record = NodeRecord {
-        node: "vm-1".try_into().expect("a valid name"),
+        node: format!("vm-{vm}").try_into().expect("a valid name"),
         incarnation: Incarnation::new(1),
         attachment: 1,
         revision: 1,
@@ -51,8 +56,11 @@
             1,
         )],
     };
+    let mut acks = AckSummary::default();
+    acks.add_node(ConfigVersion::ZERO);
     let state = ChildState {
         servers_known,
+        acks,
         ..ChildState::default()
     };
     UpMessage::Hello(Box::new(Hello {
@@ -159,6 +167,23 @@
     assert!(time_to_first_list(1) >= LEADER_GRACE);
 }
 
+#[test]
+fn a_version_is_not_in_force_before_a_new_leader_knows_the_fleet() {
+    let mut machine = machine();
+    let version = ConfigVersion::ZERO;
+    machine.set_state(START, &leading_state());
+    assert!(!machine.status().is_in_force(version));
+    let attached_at = START + LEADER_GRACE_LIMIT / 2;
+    machine.on_tick(attached_at);
+    machine.on_child_message(attached_at, NODE, &hello(2));
+    machine.on_tick(attached_at);
+    assert!(!machine.status().is_in_force(version));
+    let later = attached_at + Duration::from_secs(1);
+    machine.on_child_message(later, OTHER_NODE, &hello_of(2, 2));
+    machine.on_tick(later);
+    assert!(machine.status().is_in_force(version));
+}
+
 #[test]
 fn a_new_leader_publishes_no_member_list_before_a_node_has_attached() {
     let mut machine = machine();
--- a/trefoillock-roles/src/operator_service.rs
+++ b/trefoillock-roles/src/operator_service.rs
@@ -149,10 +149,7 @@
     /// Waits until all nodes serve a version, but no longer than [`IN_FORCE_TIMEOUT`].
     async fn wait_until_in_force(&self, version: ConfigVersion) {
         let mut fleet = self.fleet.clone();
-        let in_force = fleet.wait_for(|status| {
-            let is_known = status.is_leading && status.newest >= version;
-            is_known && status.versions.nodes_at_least(version) >= status.nodes
-        });
+        let in_force = fleet.wait_for(|status| status.is_in_force(version));
         // Unreachable nodes receive the version when they reconnect.
         let _ = tokio::time::timeout(IN_FORCE_TIMEOUT, in_force).await;
     }
