--- a/trefoillock-control/src/control_machine.rs
+++ b/trefoillock-control/src/control_machine.rs
@@ -246,20 +246,6 @@
     }
 
     fn on_hello(&mut self, now: Timestamp, key: ChildKey, hello: &Hello) {
-        self.send_changes(key, hello);
-        self.answer_hello(now, key, hello);
-    }
-
-    /// Sends the changes that a node lacks before it is placed, since that may take several round
-    /// trips. Followers send them too: all that they have applied is committed.
-    fn send_changes(&mut self, key: ChildKey, hello: &Hello) {
-        let held = hello.report.state.as_ref().map(|state| state.held.config);
-        if let Some(changes) = held.and_then(|held| self.distributor.changes_since(held)) {
-            self.effects.push(ControlEffect::Send(key, changes));
-        }
-    }
-
-    fn answer_hello(&mut self, now: Timestamp, key: ChildKey, hello: &Hello) {
         let placement = match self.role {
             LeadershipRole::Leading { .. } => self.place(now, hello),
             LeadershipRole::Following {
@@ -278,6 +264,7 @@
                         return;
                     }
                     None => {
+                        self.send_changes(key, hello);
                         self.waiting.insert(key, (hello.clone(), now + LEADER_WAIT));
                         return;
                     }
@@ -285,6 +272,7 @@
             }
         };
         if let Err(rejection) = placement {
+            self.send_changes(key, hello);
             self.reject(key, rejection);
             return;
         }
@@ -299,6 +287,15 @@
         }
     }
 
+    /// Sends a node that is not accepted the changes that it lacks, since its search may take several
+    /// more round trips. Followers send them too: all that they have applied is committed.
+    fn send_changes(&mut self, key: ChildKey, hello: &Hello) {
+        let held = hello.report.state.as_ref().map(|state| state.held.config);
+        if let Some(changes) = held.and_then(|held| self.distributor.changes_since(held)) {
+            self.effects.push(ControlEffect::Send(key, changes));
+        }
+    }
+
     /// Decides whether a node may attach to the leader; the error is the answer that rejects it.
     fn place(&mut self, now: Timestamp, hello: &Hello) -> Result<(), DownMessage> {
         match self.planner.place(now, &self.node_table, hello) {
@@ -353,7 +350,7 @@
             return;
         }
         for (key, (hello, _)) in std::mem::take(&mut self.waiting) {
-            self.answer_hello(now, key, &hello);
+            self.on_hello(now, key, &hello);
         }
     }
 
--- a/trefoillock-control/src/uplink/candidates.rs
+++ b/trefoillock-control/src/uplink/candidates.rs
@@ -7,6 +7,14 @@
 
 use crate::ParentAddress;
 
+/// The control replica that was the parent until its connection failed.
+#[derive(Debug, Clone, Copy)]
+struct LostReplica {
+    address: SocketAddr,
+    /// The number of other candidates to try before it.
+    others_first: usize,
+}
+
 /// The control replicas and relays that a node may ask for a parent, in turn.
 #[derive(Debug)]
 pub(super) struct Candidates {
@@ -17,8 +25,7 @@
     /// The learned replicas followed by the remaining seeds, without duplicates.
     control: Vec<SocketAddr>,
     alternates: Vec<SocketAddr>,
-    /// The control replica that was the parent until its connection failed. It is tried last.
-    lost: Option<SocketAddr>,
+    lost: Option<LostReplica>,
     /// A running index into the candidates.
     next: usize,
 }
@@ -62,13 +69,23 @@
         for _ in 0..count {
             let address = self.get(self.next % count)?;
             self.next = self.next.wrapping_add(1);
-            let is_lost = !address.is_relay() && Some(address.address) == self.lost;
-            if !is_lost && !is_asked(address) {
+            if !self.is_postponed(address) && !is_asked(address) {
+                if let Some(lost) = &mut self.lost {
+                    lost.others_first = lost.others_first.saturating_sub(1);
+                }
                 return Some(address);
             }
         }
-        let lost = self.lost.take().map(ParentAddress::control);
-        lost.filter(|address| !is_asked(*address))
+        let lost = self.lost.take()?;
+        let address = ParentAddress::control(lost.address);
+        (!is_asked(address)).then_some(address)
+    }
+
+    fn is_postponed(&self, address: ParentAddress) -> bool {
+        let is_postponed = |lost: LostReplica| {
+            lost.others_first > 0 && address == ParentAddress::control(lost.address)
+        };
+        self.lost.is_some_and(is_postponed)
     }
 
     fn get(&self, index: usize) -> Option<ParentAddress> {
@@ -82,9 +99,13 @@
         }
     }
 
-    /// Sets the control replica that is tried last; `None` if all may be tried in turn.
-    pub(super) const fn set_lost(&mut self, lost: Option<SocketAddr>) {
-        self.lost = lost;
+    /// Sets the control replica that is tried after the others; `None` if all are tried in turn.
+    pub(super) fn set_lost(&mut self, lost: Option<SocketAddr>) {
+        let others_first = self.control.len().saturating_sub(1);
+        self.lost = lost.map(|address| LostReplica {
+            address,
+            others_first,
+        });
     }
 
     /// Sets the relays to try when no control replica answers.
