--- a/trefoillock-control/src/agent.rs
+++ b/trefoillock-control/src/agent.rs
@@ -15,8 +15,8 @@
 use trefoillock_rpc::{RpcClient, RpcServer, Token, TrafficCounter};
 
 use crate::{
-    DownMessage, LinkId, NodeEffect, NodeIdentity, NodeMachine, ParentAddress, ParentEvent,
-    ParentKind, UpMessage,
+    DownMessage, LinkEnd, LinkId, NodeEffect, NodeIdentity, NodeMachine, ParentAddress,
+    ParentEvent, ParentKind, UpMessage,
     child_server::{
         self, CONTROL_PATH, ChildEvent, ChildSenders, EVENT_QUEUE_CAPACITY, RELAY_PATH,
     },
@@ -70,7 +70,7 @@
 
 enum LinkEvent {
     Message(LinkId, Box<DownMessage>),
-    Closed(LinkId),
+    Closed(LinkId, LinkEnd),
 }
 
 /// Attaches a node to the distribution tree, holds the versions that it receives and relays them to
@@ -180,9 +180,9 @@
             LinkEvent::Message(link, message) => {
                 self.machine.on_parent_message(now, link, &message);
             }
-            LinkEvent::Closed(link) => {
+            LinkEvent::Closed(link, reason) => {
                 self.close_link(link);
-                self.machine.on_link_closed(now, link);
+                self.machine.on_link_closed(now, link, reason);
             }
         }
     }
@@ -287,7 +287,7 @@
         ParentKind::Relay => RELAY_PATH,
     };
     let opened = client.streaming(path, ReceiverStream::new(messages)).await;
-    match opened {
+    let reason = match opened {
         Ok(mut answers) => {
             while let Some(Ok(message)) = answers.next().await {
                 let event = LinkEvent::Message(link, Box::new(message));
@@ -295,6 +295,7 @@
                     return;
                 }
             }
+            LinkEnd::Closed
         }
         Err(status) => {
             let address_text = address.address.to_string();
@@ -303,8 +304,9 @@
                 ParentKind::Relay => Peer::Node(address_text),
             };
             log::debug!("{}", Error::new(Step::Connect, peer, status));
+            LinkEnd::Unreachable
         }
-    }
+    };
     // The receiver is dropped only when the process stops, so a failed send can be ignored.
-    let _ = events.send(LinkEvent::Closed(link)).await;
+    let _ = events.send(LinkEvent::Closed(link, reason)).await;
 }
--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     AckSummary, AttachLimiter, ChildKey, ChildState, ConfigHolder, ConfigUpdate, Distributor,
-    DownMessage, EvidenceOutbox, HeldVersions, Hello, LinkAction, LinkId, MembersHolder,
+    DownMessage, EvidenceOutbox, HeldVersions, Hello, LinkAction, LinkEnd, LinkId, MembersHolder,
     MembersUpdate, MinVersions, NodeRecord, ParentAddress, ParentEvent, Payload, Repair, Report,
     ReportReply, SubtreeChange, SubtreeDigest, UpMessage, Update, Uplink,
     timing::{MIN_REPORT_INTERVAL, REPORT_INTERVAL},
@@ -428,8 +428,8 @@
     }
 
     /// Handles the end of the connection to a parent.
-    pub fn on_link_closed(&mut self, now: Timestamp, link: LinkId) {
-        self.uplink.on_closed(now, link, &mut self.rng);
+    pub fn on_link_closed(&mut self, now: Timestamp, link: LinkId, reason: LinkEnd) {
+        self.uplink.on_closed(now, link, reason, &mut self.rng);
         self.apply_link_actions();
     }
 
--- a/trefoillock-control/src/parent_event.rs
+++ b/trefoillock-control/src/parent_event.rs
@@ -39,6 +39,8 @@
 pub enum LinkEnd {
     /// The peer or the network closed the connection.
     Closed,
+    /// No connection to the peer could be opened.
+    Unreachable,
     /// The peer sent nothing for too long.
     Silent,
     /// The peer asked the node to come back later.
@@ -59,6 +61,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Closed => "closed",
+            Self::Unreachable => "unreachable",
             Self::Silent => "silent",
             Self::Retry => "retry",
             Self::Redirected => "redirected",
--- a/trefoillock-control/src/uplink.rs
+++ b/trefoillock-control/src/uplink.rs
@@ -441,9 +441,9 @@
     }
 
     /// Handles the end of a connection.
-    pub fn on_closed(&mut self, now: Timestamp, id: LinkId, rng: &mut Pcg64Mcg) {
+    pub fn on_closed(&mut self, now: Timestamp, id: LinkId, reason: LinkEnd, rng: &mut Pcg64Mcg) {
         if self.end_probe(id).is_none() {
-            self.on_failure(now, id, LinkEnd::Closed, rng);
+            self.on_failure(now, id, reason, rng);
         }
     }
 
--- a/trefoillock-control/tests/parent_search.rs
+++ b/trefoillock-control/tests/parent_search.rs
@@ -142,7 +142,7 @@
         now = now + Duration::from_millis(50);
         if let Some((link, address)) = opened(&mut node, now) {
             asked.push(address);
-            node.on_link_closed(now, link);
+            node.on_link_closed(now, link, LinkEnd::Closed);
         }
     }
     assert_eq!(asked[2], lost, "{asked:?}");
--- a/trefoillock-stand-ins/src/fleet/network.rs
+++ b/trefoillock-stand-ins/src/fleet/network.rs
@@ -9,8 +9,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use trefoillock_control::{
-    ChildKey, ControlEffect, ControlMachine, ControlState, LeadershipRole, LinkId, NodeEffect,
-    NodeIdentity, NodeMachine, UpMessage,
+    ChildKey, ControlEffect, ControlMachine, ControlState, LeadershipRole, LinkEnd, LinkId,
+    NodeEffect, NodeIdentity, NodeMachine, UpMessage,
 };
 use trefoillock_core::{Config, Incarnation, Map, Term, Timestamp};
 
@@ -323,7 +323,7 @@
                 node.on_parent_message(now, link, &message);
             }),
             Event::DownClosed(id) => self.with_child(id, |node, now, link| {
-                node.on_link_closed(now, link);
+                node.on_link_closed(now, link, LinkEnd::Closed);
             }),
         }
     }
