--- a/trefoillock-stand-ins/tests/late_configurations.rs
+++ b/trefoillock-stand-ins/tests/late_configurations.rs
@@ -142,3 +142,20 @@
         assert_in_force(&mut fleet, 2, by, None);
     }
 }
+
+#[test]
+fn a_new_leader_reaches_all_nodes_in_time_while_relays_and_a_follower_are_silent() {
+    for seed in 0..SEEDS {
+        let mut fleet = converged_fleet(seed);
+        for _ in 0..2 {
+            let relay = largest_relay(&fleet);
+            fleet.kill(relay, true);
+        }
+        fleet.isolate(Process::Control(4), true);
+        let slow_relay = largest_relay(&fleet);
+        fleet.delay_link(Process::Node(slow_relay), SLOW_LINK_DELAY / 4);
+        let (cut_at, accepted_at) = replace_leader(&mut fleet);
+        let by = (accepted_at + APPLY_LIMIT).max(cut_at + CONTACT_LIMIT);
+        assert_in_force(&mut fleet, 2, by, None);
+    }
+}
