--- a/trefoillock-roles/src/leadership.rs
+++ b/trefoillock-roles/src/leadership.rs
@@ -51,7 +51,7 @@
 
 /// Why this replica does not count as leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Unconfirmed {
+enum ConfirmationError {
     /// Another replica leads, or none.
     Follower,
     /// The replica leads, but no quorum has granted it a lease.
@@ -64,7 +64,7 @@
     LeaseEnded,
 }
 
-impl fmt::Display for Unconfirmed {
+impl fmt::Display for ConfirmationError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Follower => "follower",
@@ -97,16 +97,16 @@
 /// earlier leaders. A configuration read before the barrier may thus be older than the last
 /// acknowledged edit.
 async fn read_config_after(
-    barrier: impl Future<Output = Result<(), Unconfirmed>>,
+    barrier: impl Future<Output = Result<(), ConfirmationError>>,
     config: &mut watch::Receiver<Arc<Config>>,
-) -> Result<Arc<Config>, Unconfirmed> {
+) -> Result<Arc<Config>, ConfirmationError> {
     barrier.await.map(|()| config.borrow_and_update().clone())
 }
 
 /// Returns the role that a replica has in the distribution.
 fn leadership_role(
     status: &ReplicaStatus,
-    confirmation: Result<(), Unconfirmed>,
+    confirmation: Result<(), ConfirmationError>,
 ) -> LeadershipRole {
     let term = status.term;
     match (confirmation, status.role) {
@@ -163,7 +163,7 @@
             let confirmed_config = if current_status.role == ReplicaRole::Leader {
                 read_config_after(self.confirm_leadership(&lease), &mut config).await
             } else {
-                Err(Unconfirmed::Follower)
+                Err(ConfirmationError::Follower)
             };
             let confirmation = confirmed_config.as_ref().map(|_| ()).map_err(|e| *e);
             let current_config =
@@ -183,25 +183,25 @@
     async fn confirm_leadership(
         &self,
         lease: &watch::Receiver<Option<Instant>>,
-    ) -> Result<(), Unconfirmed> {
+    ) -> Result<(), ConfirmationError> {
         let lease_end = || (*lease.borrow()).filter(|end| *end > Instant::now());
         let Some(end) = lease_end() else {
-            return Err(Unconfirmed::NoLease);
+            return Err(ConfirmationError::NoLease);
         };
         let limit = end.min(Instant::now() + CONFIRM_TIMEOUT);
         let barrier = tokio::time::timeout_at(limit.into(), self.replica.read_barrier());
         match barrier.await {
             Ok(Ok(_)) if lease_end().is_some() => Ok(()),
-            Ok(Ok(_)) => Err(Unconfirmed::LeaseEnded),
-            Ok(Err(ReadError::NotLeader { .. })) => Err(Unconfirmed::BarrierRefused),
-            Ok(Err(ReadError::TimedOut)) | Err(_) => Err(Unconfirmed::BarrierTimedOut),
+            Ok(Ok(_)) => Err(ConfirmationError::LeaseEnded),
+            Ok(Err(ReadError::NotLeader { .. })) => Err(ConfirmationError::BarrierRefused),
+            Ok(Err(ReadError::TimedOut)) | Err(_) => Err(ConfirmationError::BarrierTimedOut),
         }
     }
 
     fn publish(
         &self,
         status: &ReplicaStatus,
-        confirmation: Result<(), Unconfirmed>,
+        confirmation: Result<(), ConfirmationError>,
         config: &Arc<Config>,
         state: &watch::Sender<ControlState>,
         leadership: &watch::Sender<Leadership>,
@@ -242,7 +242,7 @@
         &self,
         previous: Option<Term>,
         current: Option<Term>,
-        confirmation: Result<(), Unconfirmed>,
+        confirmation: Result<(), ConfirmationError>,
     ) {
         if previous == current {
             return;
--- a/trefoillock-roles/src/leadership/tests.rs
+++ b/trefoillock-roles/src/leadership/tests.rs
@@ -10,7 +10,7 @@
 use trefoillock_replica::{Membership, ReplicaRole, ReplicaStatus};
 use trefoillock_store::{Command, TableStore};
 
-use super::{LastLedTerm, Leadership, Unconfirmed, leadership_role, read_config_after};
+use super::{ConfirmationError, LastLedTerm, Leadership, leadership_role, read_config_after};
 
 /// Returns the configuration after an edit at the given log index.
 fn config(index: u64) -> Arc<Config> {
@@ -39,9 +39,9 @@
 #[tokio::test]
 async fn without_a_passed_barrier_there_is_no_configuration() {
     let (_tx, mut rx) = watch::channel(config(1));
-    let barrier = async { Err(Unconfirmed::BarrierTimedOut) };
+    let barrier = async { Err(ConfirmationError::BarrierTimedOut) };
     let read = read_config_after(barrier, &mut rx).await;
-    assert_eq!(read, Err(Unconfirmed::BarrierTimedOut));
+    assert_eq!(read, Err(ConfirmationError::BarrierTimedOut));
 }
 
 #[test]
@@ -60,7 +60,7 @@
         refusal: None,
         failure: None,
     };
-    let role = leadership_role(&status, Err(Unconfirmed::NoLease));
+    let role = leadership_role(&status, Err(ConfirmationError::NoLease));
     assert_eq!(role, LeadershipRole::Unconfirmed { term });
     assert_eq!(
         leadership_role(&status, Ok(())),
@@ -71,7 +71,7 @@
         leader: None,
         ..status
     };
-    let role = leadership_role(&follower, Err(Unconfirmed::Follower));
+    let role = leadership_role(&follower, Err(ConfirmationError::Follower));
     assert_eq!(role, LeadershipRole::Following { leader: None });
 }
 
