--- a/trefoillock-control/src/control_machine.rs
+++ b/trefoillock-control/src/control_machine.rs
@@ -18,37 +18,24 @@
 };
 
 use crate::{
-    AttachLimiter, ChildKey, ConfigId, Distributor, DownMessage, FleetStatus, Hello, MembersDelta,
-    MembersUpdate, MinVersions, NodeTable, ParentAddress, Payload, Placement, Report, Route,
-    SubtreeChange, TreePlanner, UpMessage,
+    AttachLimiter, ChildKey, ConfigId, Distributor, DownMessage, FleetStatus, Hello, MinVersions,
+    NodeTable, Report, Route, SubtreeChange, TreePlanner, UpMessage,
     distributor::{ReportedChanges, retry_message},
-    timing::{LEADER_GRACE, LEADER_GRACE_LIMIT, MEMBERS_WINDOW},
+    timing::MEMBERS_WINDOW,
 };
 
+mod admission;
+mod publication;
+
 /// The number of children that the leader accepts per second.
 const ADMITTED_PER_SECOND: u32 = 400;
 /// The delay after which a node asks again while there is no leader or no place for it.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// How long a replica that knows no leader keeps a node waiting. It is shorter than
-/// [`ATTACH_TIMEOUT`](crate::timing::ATTACH_TIMEOUT), so that the node soon asks another replica.
-const LEADER_WAIT: Duration = Duration::from_millis(300);
-/// The largest number of nodes that one replica keeps waiting.
-const MAX_WAITING: usize = 2_048;
 /// The largest number of crash reports that are kept to detect duplicates.
 const MAX_SEEN_CRASHES: usize = 4_096;
 /// The interval at which the member list is rebuilt even without a change of the fleet, since
 /// damped backend servers become visible by time alone.
 const MEMBERS_REFRESH_INTERVAL: Duration = Duration::from_secs(1);
-/// The time after which a new leader waits only for [`PARTIAL_FLEET_PERCENT`] of the known backend
-/// servers.
-const PARTIAL_FLEET_GRACE: Duration = Duration::from_millis(1_200);
-/// The time after which a new leader publishes an incomplete member list if no node holds one. A
-/// node that holds a list would have attached by then, within one [`RETRY_DELAY`].
-const NEW_FLEET_GRACE: Duration = Duration::from_millis(160);
-/// The share of the known backend servers, in percent, that a new leader waits for after
-/// [`PARTIAL_FLEET_GRACE`].
-const PARTIAL_FLEET_PERCENT: u64 = 90;
-
 /// Whether a control replica leads, and the leader's address if it does not.
 ///
 /// The caller may set `Leading` only while the replica holds its lease and has applied every entry
@@ -245,115 +232,6 @@
         }
     }
 
-    fn on_hello(&mut self, now: Timestamp, key: ChildKey, hello: &Hello) {
-        let placement = match self.role {
-            LeadershipRole::Leading { .. } => self.place(now, hello),
-            LeadershipRole::Following {
-                leader: Some(leader),
-            } => Err(DownMessage::Redirect(ParentAddress::control(leader))),
-            LeadershipRole::Unconfirmed { .. } | LeadershipRole::Following { leader: None } => {
-                match self.redirect_without_leader(hello) {
-                    Some(relay) => Err(relay),
-                    None if hello.is_probe || self.waiting.len() >= MAX_WAITING => {
-                        Err(retry_message(RETRY_DELAY))
-                    }
-                    // A replica without a membership, as after the loss of its disk, learns of a
-                    // leader later than the others, so the node must not wait here.
-                    None if self.replicas.is_empty() => {
-                        self.effects.push(ControlEffect::Close(key));
-                        return;
-                    }
-                    None => {
-                        self.send_changes(key, hello);
-                        self.waiting.insert(key, (hello.clone(), now + LEADER_WAIT));
-                        return;
-                    }
-                }
-            }
-        };
-        if let Err(rejection) = placement {
-            self.send_changes(key, hello);
-            self.reject(key, rejection);
-            return;
-        }
-        let (reported, older) = self.distributor.on_hello(now, key, hello, 0);
-        if let Some(older) = older {
-            self.effects.push(ControlEffect::Close(older));
-        }
-        if self.distributor.contains(key) {
-            self.effects
-                .push(ControlEffect::Send(key, DownMessage::Welcome));
-            self.process_changes(now, key, &hello.report, reported);
-        }
-    }
-
-    /// Sends a node that is not accepted the changes that it lacks, since its search may take several
-    /// more round trips. Followers send them too: all that they have applied is committed.
-    fn send_changes(&mut self, key: ChildKey, hello: &Hello) {
-        let held = hello.report.state.as_ref().map(|state| state.held.config);
-        if let Some(changes) = held.and_then(|held| self.distributor.changes_since(held)) {
-            self.effects.push(ControlEffect::Send(key, changes));
-        }
-    }
-
-    /// Decides whether a node may attach to the leader; the error is the answer that rejects it.
-    fn place(&mut self, now: Timestamp, hello: &Hello) -> Result<(), DownMessage> {
-        match self.planner.place(now, &self.node_table, hello) {
-            Placement::UnderRelay(relay) => Err(DownMessage::Redirect(ParentAddress::relay(relay))),
-            Placement::RetryLater => Err(retry_message(RETRY_DELAY)),
-            Placement::UnderLeader if hello.is_probe => {
-                let own_address = ParentAddress::control(self.address);
-                Err(DownMessage::Redirect(own_address))
-            }
-            Placement::UnderLeader => {
-                let admitted = self.attach_limiter.admit(now, &hello.record.node);
-                admitted.map_err(retry_message)
-            }
-        }
-    }
-
-    /// Returns a redirect to a relay in the node's data centre that was attached when this replica
-    /// last led.
-    fn redirect_without_leader(&self, hello: &Hello) -> Option<DownMessage> {
-        let is_usable = |(data_centre, address): &&(DataCentre, SocketAddr)| {
-            *data_centre == hello.record.data_centre
-                && *address != hello.record.mesh_address
-                && Some(*address) != hello.avoid
-        };
-        let relays: Vec<_> = self.last_relays.iter().filter(is_usable).collect();
-        let index = usize::try_from(hello.record.order().attachment).unwrap_or_default();
-        let (_, relay) = relays.get(index % relays.len().max(1))?;
-        (!hello.is_probe).then(|| DownMessage::Redirect(ParentAddress::relay(*relay)))
-    }
-
-    /// Answers the waiting nodes once a leader is known, and closes the connections of those whose
-    /// wait is over.
-    fn answer_waiting_nodes(&mut self, now: Timestamp) {
-        let knows_leader = match self.role {
-            LeadershipRole::Leading { .. } => true,
-            LeadershipRole::Unconfirmed { .. } => false,
-            LeadershipRole::Following { leader } => leader.is_some(),
-        };
-        if !knows_leader {
-            let expired: Vec<ChildKey> = self
-                .waiting
-                .iter()
-                .filter(|(_, (_, until))| now >= *until)
-                .map(|(key, _)| *key)
-                .collect();
-            for key in expired {
-                self.waiting.remove(&key);
-                // The node asks another replica, which may be on the leader's side of a network
-                // partition.
-                self.effects.push(ControlEffect::Close(key));
-            }
-            return;
-        }
-        for (key, (hello, _)) in std::mem::take(&mut self.waiting) {
-            self.on_hello(now, key, &hello);
-        }
-    }
-
     fn reject(&mut self, key: ChildKey, answer: DownMessage) {
         self.effects.push(ControlEffect::Send(key, answer));
         self.effects.push(ControlEffect::Close(key));
@@ -471,53 +349,6 @@
         self.send_updates(now);
     }
 
-    /// Returns whether the leader may publish: always after its first member list, and before it
-    /// once enough of the fleet has attached.
-    fn may_publish(&self, now: Timestamp) -> bool {
-        if self.has_published {
-            return true;
-        }
-        let elapsed = now.since(self.leading_since);
-        let announced = self.node_table.announced_servers() as u64 * 100;
-        let known = u64::from(self.max_servers_known);
-        // In a newly started fleet no node holds a list, so an incomplete one is better than none.
-        let is_new_fleet = known == 0;
-        let is_complete = announced >= known * 100;
-        let is_mostly_complete = announced >= known * PARTIAL_FLEET_PERCENT;
-        // Before a node has attached, neither its servers nor those that it knows are counted.
-        let is_enough = announced > 0
-            && ((elapsed >= NEW_FLEET_GRACE && is_new_fleet)
-                || (elapsed >= LEADER_GRACE && is_complete)
-                || (elapsed >= PARTIAL_FLEET_GRACE && is_mostly_complete));
-        is_enough || elapsed >= LEADER_GRACE_LIMIT
-    }
-
-    fn publish(&mut self, now: Timestamp) {
-        self.last_publish = now;
-        self.is_dirty = false;
-        let old = self.distributor.members().clone();
-        let servers = self.node_table.servers(now);
-        if self.has_published && servers == old.servers && self.quarantined == old.quarantined {
-            return;
-        }
-        self.version.sequence += 1;
-        let members = Members {
-            version: self.version,
-            servers,
-            quarantined: self.quarantined.clone(),
-        };
-        let is_delta = self.has_published;
-        let update = if is_delta {
-            MembersUpdate::Delta(MembersDelta::between(&old, &members))
-        } else {
-            MembersUpdate::Snapshot(members.clone())
-        };
-        self.has_published = true;
-        let payload = Payload::encode(&update);
-        self.distributor
-            .set_members(Arc::new(members), payload, is_delta);
-    }
-
     fn send_updates(&mut self, now: Timestamp) {
         let updates = self.distributor.due_updates(now);
         let sends = updates
