--- a/trefoillock-control/src/control_machine/publication.rs
+++ b/trefoillock-control/src/control_machine/publication.rs
@@ -14,7 +14,8 @@
 /// servers.
 const PARTIAL_FLEET_GRACE: Duration = Duration::from_millis(1_200);
 /// The time after which a new leader publishes an incomplete member list if no node holds one. A
-/// node that holds a list would have attached by then, within one [`RETRY_DELAY`].
+/// node that holds a list would have attached by then, within one
+/// [`RETRY_DELAY`](super::RETRY_DELAY).
 const NEW_FLEET_GRACE: Duration = Duration::from_millis(160);
 /// The share of the known backend servers, in percent, that a new leader waits for after
 /// [`PARTIAL_FLEET_GRACE`].
