feat(backend,roles): read, log and count what a backend server states about itself

The logs could not tell a statement that nobody reads from one that is read and has no effect: no line mentions a limit. Each node now reads the limit on the rate of calls and the statement to leave from the responses of its own backend servers, writes 1204, 1205 and, for what cannot be read, 1206 (one a second at most), and counts them on the metrics address.

A response of another instance (421) is not read, nor one that does not belong to the call.

--- a/trefoillock-backend/src/dialect.rs
+++ b/trefoillock-backend/src/dialect.rs
@@ -2,9 +2,11 @@
 
 use std::{fmt::Debug, time::Duration};
 
-use http::{HeaderMap, HeaderValue, StatusCode, response::Parts};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, response::Parts};
 use trefoillock_core::{Announcement, headers};
 
+use crate::ServerStatement;
+
 /// What the head of a response says about the call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseKind {
@@ -31,10 +33,15 @@
     /// Classifies a response by its head. `expected` is what [`Dialect::write_request_headers`]
     /// returned for the request.
     fn classify_response(&self, expected: Option<&HeaderValue>, head: &Parts) -> ResponseKind;
+
+    /// Reads what the backend server says about itself, from a response that is not
+    /// [`ResponseKind::Mismatched`]. `None` if another process than the expected one sent it.
+    fn read_statement(&self, head: &Parts) -> Option<ServerStatement>;
 }
 
 /// The headers of this project's own interface: `trefoillock-outcome: did-not-run` with status 503
-/// marks a rejected call.
+/// marks a rejected call; `trefoillock-limit` and `trefoillock-leaving` are statements of the
+/// backend server about itself.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct DefaultDialect;
 
@@ -57,4 +64,12 @@
             ResponseKind::Answer
         }
     }
+
+    fn read_statement(&self, head: &Parts) -> Option<ServerStatement> {
+        let (limit, leaving) = (
+            HeaderName::from_static(headers::LIMIT),
+            HeaderName::from_static(headers::LEAVING),
+        );
+        Some(ServerStatement::read(&head.headers, &limit, &leaving))
+    }
 }
--- a/trefoillock-backend/src/lib.rs
+++ b/trefoillock-backend/src/lib.rs
@@ -22,7 +22,10 @@
 mod registry;
 mod response_body;
 mod serve;
+mod server_event;
+mod server_statement;
 mod slots;
+mod statement_log;
 
 pub use announcements::{AnnounceError, Announcements};
 pub use body::{Body, BodyError, DeadlineBody, SizedBody, box_body, empty_body, full_body};
@@ -34,3 +37,6 @@
 pub use local_servers::LocalServers;
 pub use registry::BackendRegistry;
 pub use serve::serve;
+pub use server_event::{ServerChange, ServerEvent};
+pub use server_statement::{InvalidStatement, ServerStatement};
+pub use statement_log::StatementCounts;
--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -14,15 +14,17 @@
     net::TcpStream,
     time::{Instant, sleep, timeout, timeout_at},
 };
-use trefoillock_core::{Announcement, MemberState, RefusalReason, RouteClass};
+use trefoillock_core::{Announcement, CallRate, MemberState, RefusalReason, RouteClass};
 use trefoillock_policy::{Demand, LoadHint};
 use trefoillock_process::Clock;
 
 use crate::{
-    Body, CallFailure, Crash, DefaultDialect, Dialect, NotExecuted, ResponseKind,
+    Body, CallFailure, Crash, DefaultDialect, Dialect, NotExecuted, ResponseKind, ServerChange,
+    ServerStatement,
     connection::Connection,
     response_body::ResponseBody,
     slots::{Slot, SlotRefusal, Slots},
+    statement_log::StatementLog,
 };
 
 /// The timeout for opening a connection.
@@ -67,6 +69,9 @@
     dialect: Arc<dyn Dialect>,
     slots: Arc<Slots>,
     idle: Mutex<Vec<Connection>>,
+    limit: Mutex<Option<CallRate>>,
+    leaving: AtomicBool,
+    statement_log: Arc<StatementLog>,
 }
 
 impl LocalServer {
@@ -81,6 +86,9 @@
             dialect: Arc::new(DefaultDialect),
             slots: Arc::new(slots),
             idle: Mutex::new(Vec::new()),
+            limit: Mutex::new(None),
+            leaving: AtomicBool::new(false),
+            statement_log: Arc::default(),
             announcement,
         }
     }
@@ -92,6 +100,13 @@
         self
     }
 
+    /// Sets where the statements of the backend server are counted and logged.
+    #[must_use]
+    pub(crate) fn with_statement_log(mut self, statement_log: Arc<StatementLog>) -> Self {
+        self.statement_log = statement_log;
+        self
+    }
+
     /// The announcement that created this value; a later one may have changed the state.
     #[must_use]
     pub const fn announcement(&self) -> &Announcement {
@@ -231,7 +246,13 @@
         let reason = match answer {
             Ok(Ok(resp)) => {
                 let (head, body) = resp.into_parts();
-                return match self.dialect.classify_response(expected.as_ref(), &head) {
+                let kind = self.dialect.classify_response(expected.as_ref(), &head);
+                if kind != ResponseKind::Mismatched
+                    && let Some(statement) = self.dialect.read_statement(&head)
+                {
+                    self.apply_statement(&statement);
+                }
+                return match kind {
                     ResponseKind::Answer => {
                         let body = ResponseBody::new(body, conn, self.clone(), slot).boxed();
                         Ok(Response::from_parts(head, body))
@@ -264,6 +285,37 @@
         Err(CallFailure::may_have_run(reason).with_crash(crash))
     }
 
+    /// Applies what the backend server says about itself. A statement that cannot be read changes
+    /// nothing.
+    fn apply_statement(&self, statement: &ServerStatement) {
+        match statement.limit {
+            Ok(limit) => self.set_limit(limit),
+            Err(invalid) => self.record_change(ServerChange::Invalid(invalid)),
+        }
+        match statement.leaving {
+            Ok(true) => {
+                if !self.leaving.swap(true, Ordering::AcqRel) {
+                    self.record_change(ServerChange::Leaving);
+                }
+            }
+            Ok(false) => {}
+            Err(invalid) => self.record_change(ServerChange::Invalid(invalid)),
+        }
+    }
+
+    fn set_limit(&self, limit: Option<CallRate>) {
+        let mut held = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        let previous = std::mem::replace(&mut *held, limit);
+        if previous != limit {
+            self.record_change(ServerChange::Limit { limit, previous });
+        }
+    }
+
+    fn record_change(&self, change: ServerChange) {
+        let (now, address) = (self.clock.now(), self.announcement.address);
+        self.statement_log.record(now, address, change);
+    }
+
     /// Checks whether the process still accepts connections after one was lost.
     ///
     /// A process that is terminating may still accept a connection for a moment, so several are
--- a/trefoillock-backend/src/local_servers.rs
+++ b/trefoillock-backend/src/local_servers.rs
@@ -6,13 +6,15 @@
 };
 
 use tokio::{
-    sync::Notify,
+    sync::{Notify, broadcast},
     time::{Instant, timeout_at},
 };
 use trefoillock_core::{Announcement, Incarnation, Map, MemberState};
 use trefoillock_process::Clock;
 
-use crate::{DefaultDialect, Dialect, LocalServer};
+use crate::{
+    DefaultDialect, Dialect, LocalServer, ServerEvent, StatementCounts, statement_log::StatementLog,
+};
 
 /// The backend servers that hold a lease, by address.
 #[derive(Debug)]
@@ -21,6 +23,7 @@
     dialect: Arc<dyn Dialect>,
     servers: Mutex<Map<SocketAddr, Arc<LocalServer>>>,
     changed: Notify,
+    statement_log: Arc<StatementLog>,
 }
 
 impl LocalServers {
@@ -32,6 +35,7 @@
             dialect: Arc::new(DefaultDialect),
             servers: Mutex::default(),
             changed: Notify::new(),
+            statement_log: Arc::default(),
         }
     }
 
@@ -58,6 +62,18 @@
         crashed.map(|(address, _)| *address).collect()
     }
 
+    /// Subscribes to changes of what the backend servers say about themselves.
+    #[must_use]
+    pub fn subscribe_events(&self) -> broadcast::Receiver<ServerEvent> {
+        self.statement_log.subscribe()
+    }
+
+    /// How often the backend servers have made statements about themselves.
+    #[must_use]
+    pub fn statement_counts(&self) -> StatementCounts {
+        self.statement_log.counts()
+    }
+
     /// Replaces the list of announcements. A backend server in a new incarnation starts without
     /// connections; calls in flight to the earlier incarnation continue.
     pub fn update(&self, list: &[Announcement]) {
@@ -70,7 +86,8 @@
                 held.clone()
             } else {
                 let server = LocalServer::new(announcement.clone(), self.clock);
-                Arc::new(server.with_dialect(self.dialect.clone()))
+                let server = server.with_dialect(self.dialect.clone());
+                Arc::new(server.with_statement_log(self.statement_log.clone()))
             };
             next.insert(announcement.address, server);
         }
--- /dev/null
+++ b/trefoillock-backend/tests/statements.rs
@@ -0,0 +1,154 @@
+//! What a backend server states about itself in its responses: reading it, and what is ignored.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{HeaderMap, HeaderName, HeaderValue, Request};
+use http_body_util::BodyExt;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    time::Instant,
+};
+use trefoillock_backend::{
+    BackendRegistry, CallLimits, InvalidStatement, LocalServer, ServerChange, ServerStatement,
+    StatementCounts, empty_body,
+};
+use trefoillock_core::{
+    Announcement, CallRate, Incarnation, MemberState, RouteClass, ServiceName, VersionLabel,
+};
+use trefoillock_process::Clock;
+
+const LIMIT: HeaderName = HeaderName::from_static("trefoillock-limit");
+const LEAVING: HeaderName = HeaderName::from_static("trefoillock-leaving");
+
+fn read(lines: &[(HeaderName, &[u8])]) -> ServerStatement {
+    let mut map = HeaderMap::new();
+    for (name, value) in lines {
+        map.append(name, HeaderValue::from_bytes(value).expect("a value"));
+    }
+    ServerStatement::read(&map, &LIMIT, &LEAVING)
+}
+
+fn rate(per_s: f64) -> CallRate {
+    CallRate::try_from(per_s).expect("a rate")
+}
+
+#[test]
+fn a_limit_is_a_decimal_number_of_calls_per_second() {
+    assert_eq!(read(&[]).limit, Ok(None));
+    for (text, per_s) in [("26.3", 26.3), ("17", 17.0), ("0", 0.0), ("0.25", 0.25)] {
+        assert_eq!(
+            read(&[(LIMIT, text.as_bytes())]).limit,
+            Ok(Some(rate(per_s)))
+        );
+    }
+}
+
+#[test]
+fn a_limit_that_cannot_be_read_is_invalid() {
+    let values: [&[u8]; 9] = [
+        b"", b" ", b"-1", b"many", b"nan", b"inf", b"1e300", b"1,2", b"\xff",
+    ];
+    for value in values {
+        assert!(read(&[(LIMIT, value)]).limit.is_err(), "{value:?}");
+    }
+    let twice = read(&[(LIMIT, b"20"), (LIMIT, b"20")]);
+    assert_eq!(twice.limit, Err(InvalidStatement::Repeated));
+}
+
+#[test]
+fn a_server_leaves_only_if_it_says_one() {
+    assert_eq!(read(&[]).leaving, Ok(false));
+    assert_eq!(read(&[(LEAVING, b"1")]).leaving, Ok(true));
+    assert_eq!(read(&[(LEAVING, b"1"), (LEAVING, b"1")]).leaving, Ok(true));
+    for value in [b"0".as_slice(), b"", b"yes", b"-1", b"11"] {
+        let leaving = read(&[(LEAVING, value)]).leaving;
+        assert_eq!(leaving, Err(InvalidStatement::NotOne), "{value:?}");
+    }
+}
+
+/// Starts a backend server whose responses have the given header lines, one after the other.
+async fn backend_server(lines: &'static [&'static str]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let mut lines = lines.iter().cycle();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4_096];
+            while stream.read(&mut buf).await.is_ok_and(|read| read > 0) {
+                let extra = lines.next().expect("a cycle");
+                let answer = format!("HTTP/1.1 200 OK\r\n{extra}content-length: 2\r\n\r\nok");
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        }
+    });
+    address
+}
+
+async fn call(server: &Arc<LocalServer>) {
+    let limits = CallLimits {
+        class: RouteClass::Lookup,
+        deadline: Instant::now() + Duration::from_secs(20),
+        queue_timeout: Duration::from_secs(20),
+        rank: 0,
+        objective: None,
+    };
+    let req = Request::get("/").header("host", "h").body(empty_body());
+    let resp = server.call(req.expect("a request"), limits).await;
+    let body = resp.expect("answered").into_body();
+    body.collect().await.expect("a whole body");
+}
+
+#[tokio::test]
+async fn changes_are_counted_once_and_invalid_statements_change_nothing() {
+    let address = backend_server(&[
+        "trefoillock-limit: 200\r\n",
+        "trefoillock-limit: 200\r\n",
+        "trefoillock-limit: soon\r\n",
+        "trefoillock-limit: 300\r\n",
+        "",
+    ])
+    .await;
+    let registry = BackendRegistry::new(Clock::start());
+    let announced = registry.announce(Announcement {
+        address,
+        service: ServiceName::try_from("treaty-desk").expect("a name"),
+        version: VersionLabel::try_from("1").expect("a name"),
+        incarnation: Incarnation::new(1),
+        slots: 1,
+        connections: 1,
+        state: MemberState::Up,
+        instance: None,
+    });
+    announced.expect("accepted");
+    let servers = registry.servers();
+    let mut events = servers.subscribe_events();
+    let server = servers.get(address).expect("a server");
+    for _ in 0..5 {
+        call(&server).await;
+    }
+    let counts = StatementCounts {
+        limit_changes: 3,
+        leaving: 0,
+        invalid: 1,
+    };
+    assert_eq!(servers.statement_counts(), counts);
+    let mut changes = Vec::new();
+    while let Ok(event) = events.try_recv() {
+        assert_eq!((event.address, event.omitted), (address, 0));
+        changes.push(event.change);
+    }
+    let limit = |limit: Option<f64>, previous: Option<f64>| ServerChange::Limit {
+        limit: limit.map(rate),
+        previous: previous.map(rate),
+    };
+    assert_eq!(changes[0], limit(Some(200.0), None));
+    assert!(
+        matches!(changes[1], ServerChange::Invalid(_)),
+        "{changes:?}"
+    );
+    assert_eq!(
+        changes[2..],
+        [limit(Some(300.0), Some(200.0)), limit(None, Some(300.0))]
+    );
+}
--- a/trefoillock-core/src/lib.rs
+++ b/trefoillock-core/src/lib.rs
@@ -21,8 +21,10 @@
 //! # Ok::<(), trefoillock_core::TableErrors>(())
 //! ```
 
+mod call_rate;
 mod collections;
 mod config;
+mod drained_runs;
 mod edit;
 mod error;
 mod evidence;
@@ -43,8 +45,10 @@
 mod timestamp;
 mod version;
 
+pub use call_rate::{CallRate, CallRateError};
 pub use collections::{Map, SeededMap, SeededSet, Set};
 pub use config::{Config, ConfigDelta, ConfigError, MoveShare};
+pub use drained_runs::DrainedRuns;
 pub use edit::{Edit, EditAnswer, EditConflict, EditRefusal, TablesDiff};
 pub use error::{Error, Peer, Step};
 pub use evidence::{Evidence, MoveEvidence, PoolEvidence, ServiceLevelCounts};
--- a/trefoillock-core/src/outcome.rs
+++ b/trefoillock-core/src/outcome.rs
@@ -20,6 +20,11 @@
     pub const POOL: &str = "trefoillock-pool";
     /// The shared secret on calls between nodes.
     pub const TOKEN: &str = "trefoillock-token";
+    /// From a backend server: the calls per second that it takes from all nodes together, a decimal
+    /// number.
+    pub const LIMIT: &str = "trefoillock-limit";
+    /// From a backend server: `1` if it leaves and takes no new calls.
+    pub const LEAVING: &str = "trefoillock-leaving";
 }
 
 /// How a call ended.
--- a/trefoillock-node/src/headers.rs
+++ b/trefoillock-node/src/headers.rs
@@ -42,13 +42,15 @@
 
 /// Headers that are removed from messages of callers and backend servers, because only nodes may
 /// set them.
-const INTERNAL: [&str; 17] = [
+const INTERNAL: [&str; 19] = [
     headers::OUTCOME,
     headers::REASON,
     headers::DEADLINE_MS,
     headers::ROUTE,
     headers::POOL,
     headers::TOKEN,
+    headers::LIMIT,
+    headers::LEAVING,
     SERVER,
     SERVICE,
     VERSION,
--- a/trefoillock-roles/src/metrics.rs
+++ b/trefoillock-roles/src/metrics.rs
@@ -36,6 +36,9 @@
     pub(crate) is_leader: IntGauge,
     pub(crate) control_sent: IntGauge,
     pub(crate) control_received: IntGauge,
+    pub(crate) server_limit_changes: IntGauge,
+    pub(crate) servers_leaving: IntGauge,
+    pub(crate) server_statements_ignored: IntGauge,
     pub(crate) calls: Family<CallLabels, IntGauge>,
     pub(crate) moves: Family<MoveLabels, IntGauge>,
     pub(crate) edits_accepted: Counter,
@@ -60,6 +63,18 @@
             "control_received_bytes",
             "Bytes of control messages received",
         );
+        let server_limit_changes = gauge(
+            "server_limit_changes",
+            "Limits on the rate of calls that local backend servers have stated or ended",
+        );
+        let servers_leaving = gauge(
+            "servers_leaving",
+            "Local backend servers that have said in an answer that they leave",
+        );
+        let server_statements_ignored = gauge(
+            "server_statements_ignored",
+            "Statements of local backend servers that could not be read",
+        );
         let calls = Family::default();
         registry.register(
             "calls",
@@ -81,6 +96,9 @@
             is_leader,
             control_sent,
             control_received,
+            server_limit_changes,
+            servers_leaving,
+            server_statements_ignored,
             calls,
             moves,
             edits_accepted,
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -9,18 +9,19 @@
     time::Duration,
 };
 
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{broadcast::error::RecvError, mpsc, watch};
 use tokio_util::task::TaskTracker;
-use trefoillock_backend::BackendRegistry;
+use trefoillock_backend::{BackendRegistry, LocalServers, ServerChange, ServerEvent};
 use trefoillock_control::{LocalEvidence, NodeAgent, NodeIdentity, NodeInputs, NodeOutputs};
-use trefoillock_core::{Error, Evidence, Incarnation};
+use trefoillock_core::{CallRate, Error, Evidence, Incarnation};
 use trefoillock_moves::LocalAnalysis;
 use trefoillock_node::{CallLog, NodeContext, NodeView};
 use trefoillock_process::{Event, NodeSettings};
 use trefoillock_rpc::{RpcServer, TrafficCounter};
 
 use crate::{
-    metrics::CallLabels, parent_event_log::write_parent_event, process_context::ProcessContext,
+    event_log::EventLog, metrics::CallLabels, parent_event_log::write_parent_event,
+    process_context::ProcessContext,
 };
 
 /// The time between two reports of evidence.
@@ -127,6 +128,8 @@
         context
             .tasks
             .spawn(tasks.report_evidence(evidence_tx, confirmed_round));
+        let server_events = log_server_events(context.clone(), registry.servers());
+        context.tasks.spawn(server_events);
         let announcements = log_announcements(context.clone(), registry);
         context.tasks.spawn(announcements);
         Ok(Self { call_servers, view })
@@ -294,6 +297,11 @@
             .metrics
             .control_received
             .set(self.traffic.bytes_received());
+        let statements = self.node.local_servers().statement_counts();
+        let metrics = &self.context.metrics;
+        metrics.server_limit_changes.set(statements.limit_changes);
+        metrics.servers_leaving.set(statements.leaving);
+        metrics.server_statements_ignored.set(statements.invalid);
         for row in self.node.recorder().totals() {
             let outcomes = [
                 ("answered", row.counts.answered),
@@ -312,6 +320,43 @@
     }
 }
 
+/// Writes the events about statements of the backend servers beside the node.
+async fn log_server_events(context: ProcessContext, servers: Arc<LocalServers>) {
+    let mut events = servers.subscribe_events();
+    let mut lagged = 0;
+    while let Some(received) = context.shutdown.run_until_cancelled(events.recv()).await {
+        match received {
+            Ok(event) => write_server_event(context.events, &event, std::mem::take(&mut lagged)),
+            Err(RecvError::Lagged(count)) => lagged += count,
+            Err(RecvError::Closed) => return,
+        }
+    }
+}
+
+/// Writes an event about a statement of a backend server. `lagged` events before it were not
+/// written because the log was too slow.
+fn write_server_event(log: EventLog, event: &ServerEvent, lagged: u64) {
+    let text = |limit: Option<CallRate>| limit.map_or("none".to_owned(), |rate| rate.to_string());
+    let (number, details) = match &event.change {
+        ServerChange::Limit { limit, previous } => (
+            Event::ServerLimitChanged,
+            vec![("limit", text(*limit)), ("previous", text(*previous))],
+        ),
+        ServerChange::Leaving => (Event::ServerLeaving, Vec::new()),
+        ServerChange::Invalid(invalid) => (
+            Event::ServerStatementIgnored,
+            vec![("error", invalid.to_string())],
+        ),
+    };
+    let omitted = event.omitted + lagged;
+    let mut fields: Vec<(&'static str, &dyn std::fmt::Display)> =
+        vec![("address", &event.address), ("omitted", &omitted)];
+    for (name, value) in &details {
+        fields.push((name, value));
+    }
+    log.write(number, &fields);
+}
+
 /// Writes an event when a backend server beside the node is announced, changes or is lost.
 async fn log_announcements(context: ProcessContext, registry: Arc<BackendRegistry>) {
     let mut announcements = registry.subscribe();
