--- a/trefoillock-backend/src/announcements.rs
+++ b/trefoillock-backend/src/announcements.rs
@@ -100,15 +100,16 @@
         Ok(changed)
     }
 
-    /// Marks a backend server as draining; it keeps its lease.
+    /// Marks a backend server as draining; it keeps its lease. Returns whether that changed its
+    /// announcement.
     ///
     /// # Errors
     ///
     /// Returns an error if no backend server holds a lease on the address.
-    pub fn drain(&mut self, address: SocketAddr) -> Result<(), AnnounceError> {
+    pub fn drain(&mut self, address: SocketAddr) -> Result<bool, AnnounceError> {
         let lease = self.lease_mut(address)?;
-        lease.announcement.state = MemberState::Draining;
-        Ok(())
+        let previous = std::mem::replace(&mut lease.announcement.state, MemberState::Draining);
+        Ok(previous != MemberState::Draining)
     }
 
     /// Stores the load report of a backend server.
--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -69,7 +69,9 @@
     dialect: Arc<dyn Dialect>,
     slots: Arc<Slots>,
     idle: Mutex<Vec<Connection>>,
-    limit: Mutex<Option<CallRate>>,
+    /// Whether a response of the backend server has been read.
+    has_stated: AtomicBool,
+    /// Whether the backend server has announced or stated that it leaves.
     leaving: AtomicBool,
     statement_log: Arc<StatementLog>,
 }
@@ -79,15 +81,16 @@
     #[must_use]
     pub fn new(announcement: Announcement, clock: Clock) -> Self {
         let slots = Slots::new(clock, announcement.slots, announcement.connections);
-        slots.set_draining(announcement.state == MemberState::Draining);
+        let is_draining = announcement.state == MemberState::Draining;
+        slots.set_draining(is_draining);
         Self {
             crashed: AtomicBool::new(false),
             clock,
             dialect: Arc::new(DefaultDialect),
             slots: Arc::new(slots),
             idle: Mutex::new(Vec::new()),
-            limit: Mutex::new(None),
-            leaving: AtomicBool::new(false),
+            has_stated: AtomicBool::new(false),
+            leaving: AtomicBool::new(is_draining),
             statement_log: Arc::default(),
             announcement,
         }
@@ -119,17 +122,54 @@
         self.slots.load_hint()
     }
 
-    /// Whether an announcement continues this run: nothing but its state differs, and the process
-    /// has not crashed.
+    /// Whether an announcement is of this run: nothing but its state differs.
     pub(crate) fn is_same_run(&self, next: &Announcement) -> bool {
         let mut held = self.announcement.clone();
         held.state = next.state;
-        held == *next && !self.is_crashed()
+        held == *next
     }
 
-    /// Sets the announced state.
+    /// Takes over what the same run has stated to another value.
+    pub(crate) fn inherit_statements(&self, earlier: &Self) {
+        if let Some(limit) = earlier.rate_limit() {
+            self.slots.set_rate_limit(Some(limit));
+        }
+        if earlier.is_leaving() {
+            self.set_state(MemberState::Draining);
+        }
+    }
+
+    /// Sets the announced state. A backend server that has begun to leave stays draining.
     pub(crate) fn set_state(&self, state: MemberState) {
-        self.slots.set_draining(state == MemberState::Draining);
+        if state == MemberState::Draining {
+            self.leaving.store(true, Ordering::Release);
+        }
+        self.slots.set_draining(self.is_leaving());
+    }
+
+    /// Refuses calls until the state is set again.
+    pub(crate) fn suspend(&self) {
+        self.slots.set_draining(true);
+    }
+
+    /// Whether the backend server has announced, or said in a response, that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// The limit on the rate of calls that the backend server has stated; `None` if there is none.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<CallRate> {
+        self.slots.rate_limit()
+    }
+
+    /// Applies a limit that the backend server has stated to another run of this node, unless this
+    /// run has already read a response of the backend server.
+    pub fn inherit_limit(&self, limit: CallRate) {
+        if !self.has_stated.load(Ordering::Acquire) && self.rate_limit().is_none() {
+            self.set_limit(Some(limit));
+        }
     }
 
     /// Whether the process refused a connection.
@@ -289,12 +329,16 @@
     /// nothing.
     fn apply_statement(&self, statement: &ServerStatement) {
         match statement.limit {
-            Ok(limit) => self.set_limit(limit),
+            Ok(limit) => {
+                self.has_stated.store(true, Ordering::Release);
+                self.set_limit(limit);
+            }
             Err(invalid) => self.record_change(ServerChange::Invalid(invalid)),
         }
         match statement.leaving {
             Ok(true) => {
                 if !self.leaving.swap(true, Ordering::AcqRel) {
+                    self.slots.set_draining(true);
                     self.record_change(ServerChange::Leaving);
                 }
             }
@@ -304,8 +348,7 @@
     }
 
     fn set_limit(&self, limit: Option<CallRate>) {
-        let mut held = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
-        let previous = std::mem::replace(&mut *held, limit);
+        let previous = self.slots.set_rate_limit(limit);
         if previous != limit {
             self.record_change(ServerChange::Limit { limit, previous });
         }
--- a/trefoillock-backend/src/local_servers.rs
+++ b/trefoillock-backend/src/local_servers.rs
@@ -1,6 +1,7 @@
 //! The local backend servers that a node can send calls to.
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
 };
@@ -9,19 +10,28 @@
     sync::{Notify, broadcast},
     time::{Instant, timeout_at},
 };
-use trefoillock_core::{Announcement, Incarnation, Map, MemberState};
+use trefoillock_core::{Announcement, Incarnation, Map};
 use trefoillock_process::Clock;
 
 use crate::{
     DefaultDialect, Dialect, LocalServer, ServerEvent, StatementCounts, statement_log::StatementLog,
 };
 
+/// The largest number of backend servers that are kept after their lease has ended.
+const MAX_FORMER_SERVERS: usize = 64;
+
 /// The backend servers that hold a lease, by address.
+///
+/// The last backend server of each address is kept after its lease has ended. If the same run is
+/// announced again, because its announcements were only late, its calls in flight still count, and
+/// what it has stated still holds.
 #[derive(Debug)]
 pub struct LocalServers {
     clock: Clock,
     dialect: Arc<dyn Dialect>,
     servers: Mutex<Map<SocketAddr, Arc<LocalServer>>>,
+    /// The backend servers whose lease has ended.
+    former: Mutex<VecDeque<Arc<LocalServer>>>,
     changed: Notify,
     statement_log: Arc<StatementLog>,
 }
@@ -34,6 +44,7 @@
             clock,
             dialect: Arc::new(DefaultDialect),
             servers: Mutex::default(),
+            former: Mutex::default(),
             changed: Notify::new(),
             statement_log: Arc::default(),
         }
@@ -74,20 +85,46 @@
         self.statement_log.counts()
     }
 
+    /// The addresses of the backend servers that have said that they leave; see
+    /// [`LocalServer::is_leaving`].
+    #[must_use]
+    pub fn leaving_addresses(&self) -> Vec<SocketAddr> {
+        let servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        let leaving = servers.iter().filter(|(_, server)| server.is_leaving());
+        leaving.map(|(address, _)| *address).collect()
+    }
+
+    /// Whether the run that an announcement belongs to has said, or announced before, that it leaves.
+    pub(crate) fn has_left(&self, announcement: &Announcement) -> bool {
+        let servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        let former = self.former.lock().unwrap_or_else(PoisonError::into_inner);
+        let held = servers.get(&announcement.address);
+        let mut known = held.into_iter().chain(former.iter());
+        known.any(|known| known.is_leaving() && known.is_same_run(announcement))
+    }
+
     /// Replaces the list of announcements. A backend server in a new incarnation starts without
     /// connections; calls in flight to the earlier incarnation continue.
     pub fn update(&self, list: &[Announcement]) {
         let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut former = self.former.lock().unwrap_or_else(PoisonError::into_inner);
         let mut next = Map::default();
         for announcement in list {
             let held = servers.get(&announcement.address);
-            let server = if let Some(held) = held.filter(|held| held.is_same_run(announcement)) {
-                held.set_state(announcement.state);
-                held.clone()
-            } else {
-                let server = LocalServer::new(announcement.clone(), self.clock);
-                let server = server.with_dialect(self.dialect.clone());
-                Arc::new(server.with_statement_log(self.statement_log.clone()))
+            let mut known = held.into_iter().chain(former.iter());
+            let known = known.find(|known| known.is_same_run(announcement));
+            let server = match known {
+                Some(known) if !known.is_crashed() => {
+                    known.set_state(announcement.state);
+                    known.clone()
+                }
+                known => {
+                    let server = self.new_server(announcement);
+                    if let Some(known) = known {
+                        server.inherit_statements(known);
+                    }
+                    Arc::new(server)
+                }
             };
             next.insert(announcement.address, server);
         }
@@ -97,13 +134,24 @@
                 .get(address)
                 .is_some_and(|next| Arc::ptr_eq(next, server));
             if !stays {
-                server.set_state(MemberState::Draining);
+                server.suspend();
+                former.retain(|former| former.announcement().address != *address);
+                former.push_back(server.clone());
             }
         }
-        drop(servers);
+        if former.len() > MAX_FORMER_SERVERS {
+            former.pop_front();
+        }
+        drop((servers, former));
         self.changed.notify_waiters();
     }
 
+    fn new_server(&self, announcement: &Announcement) -> LocalServer {
+        LocalServer::new(announcement.clone(), self.clock)
+            .with_dialect(self.dialect.clone())
+            .with_statement_log(self.statement_log.clone())
+    }
+
     /// Waits until an incarnation higher than `previous` is announced at an address. Returns
     /// whether that happened before `until`.
     pub async fn wait_for_restart(
--- a/trefoillock-backend/src/registry.rs
+++ b/trefoillock-backend/src/registry.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
-use trefoillock_core::Announcement;
+use trefoillock_core::{Announcement, MemberState};
 use trefoillock_process::Clock;
 
 use crate::{
@@ -60,13 +60,17 @@
         self.list.subscribe()
     }
 
-    /// Adds or renews an announcement.
+    /// Adds or renews an announcement. A run that has begun to leave stays draining, whatever state
+    /// it announces.
     ///
     /// # Errors
     ///
     /// Returns an error if the announcement conflicts with a lease that is still held.
-    pub fn announce(&self, announcement: Announcement) -> Result<(), AnnounceError> {
+    pub fn announce(&self, mut announcement: Announcement) -> Result<(), AnnounceError> {
         let now = self.clock.now();
+        if self.servers.has_left(&announcement) {
+            announcement.state = MemberState::Draining;
+        }
         self.update(|state| state.announce(announcement, now))
     }
 
@@ -76,7 +80,7 @@
     ///
     /// Returns an error if no backend server holds a lease on the address.
     pub fn drain(&self, address: SocketAddr) -> Result<(), AnnounceError> {
-        self.update(|state| state.drain(address).map(|()| true))
+        self.update(|state| state.drain(address))
     }
 
     /// Stores the load report of a backend server.
@@ -88,8 +92,8 @@
         self.update(|state| state.report_load(address, load).map(|()| false))
     }
 
-    /// Removes expired leases, and the leases of crashed backend servers, until `stop` is
-    /// cancelled.
+    /// Removes expired leases, and the leases of crashed backend servers, and drains backend servers
+    /// that have said that they leave, until `stop` is cancelled.
     pub async fn watch_leases(&self, stop: CancellationToken) {
         while stop
             .run_until_cancelled(tokio::time::sleep(LEASE_CHECK_INTERVAL))
@@ -102,6 +106,9 @@
                 for address in self.servers.crashed_addresses() {
                     changed |= state.remove(address);
                 }
+                for address in self.servers.leaving_addresses() {
+                    changed |= state.drain(address).is_ok_and(|changed| changed);
+                }
                 Ok(changed)
             });
         }
--- a/trefoillock-backend/src/slots.rs
+++ b/trefoillock-backend/src/slots.rs
@@ -10,7 +10,7 @@
 };
 
 use tokio::{sync::oneshot, time::sleep};
-use trefoillock_core::{Map, RefusalReason, Timestamp};
+use trefoillock_core::{CallRate, Map, RefusalReason, Timestamp};
 use trefoillock_policy::{Admission, Demand, LoadHint, Offer, Ticket};
 use trefoillock_process::Clock;
 
@@ -18,6 +18,8 @@
 const CHECKS_PER_WAIT: u32 = 4;
 /// The shortest time between two of these checks.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+/// The time between two checks for turns while there is a turn but no free slot.
+const FULL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 type SlotDecision = Result<(), SlotRefusal>;
 
@@ -25,7 +27,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SlotRefusal {
     pub(crate) reason: RefusalReason,
-    /// The time after which a slot is expected to be free, if the call was refused for overload.
+    /// The time after which there is expected to be room, if the call was refused for lack of it.
     pub(crate) retry_after: Option<Duration>,
 }
 
@@ -43,6 +45,8 @@
     admission: Admission,
     queue_timeout: Duration,
     waiting: Map<Ticket, oneshot::Sender<SlotDecision>>,
+    /// Whether a task starts the calls that wait for their turn.
+    serves_turns: bool,
 }
 
 impl State {
@@ -55,18 +59,34 @@
             }
         }
         for refused in self.admission.expire(now) {
-            let refusal = self.refusal(refused.reason);
+            let refusal = self.refusal(now, refused.reason);
             if let Some(tx) = self.waiting.remove(&refused.ticket) {
                 let _ = tx.send(Err(refusal));
             }
         }
     }
 
-    fn refusal(&self, reason: RefusalReason) -> SlotRefusal {
-        let is_full = reason == RefusalReason::Overloaded;
+    /// Starts the calls whose turn has come. Returns the time until the next turn that a call waits
+    /// for.
+    fn serve_turn(&mut self, now: Timestamp) -> Option<Duration> {
+        let admitted = self.admission.admit_waiting(now);
+        self.notify_waiting(now, admitted);
+        let wait = self.admission.next_turn(now)?.since(now);
+        Some(if wait.is_zero() {
+            FULL_CHECK_INTERVAL
+        } else {
+            wait
+        })
+    }
+
+    fn refusal(&self, now: Timestamp, reason: RefusalReason) -> SlotRefusal {
+        let is_full = matches!(
+            reason,
+            RefusalReason::Overloaded | RefusalReason::RateLimited
+        );
         SlotRefusal {
             reason,
-            retry_after: is_full.then(|| self.admission.retry_after()),
+            retry_after: is_full.then(|| self.admission.retry_after(now)),
         }
     }
 }
@@ -93,6 +113,7 @@
                 admission: Admission::new(slots, connections, queue_timeout),
                 queue_timeout,
                 waiting: Map::default(),
+                serves_turns: false,
             }),
         }
     }
@@ -121,10 +142,11 @@
             state.notify_waiting(now, Vec::new());
             match offer {
                 Offer::Admitted => return Ok(self.slot(ticket)),
-                Offer::Refused(reason) => return Err(state.refusal(reason)),
+                Offer::Refused(reason) => return Err(state.refusal(now, reason)),
                 Offer::Queued => {
                     let (tx, rx) = oneshot::channel();
                     state.waiting.insert(ticket, tx);
+                    self.ensure_turns_served(&mut state, now);
                     rx
                 }
             }
@@ -149,6 +171,49 @@
         }
     }
 
+    /// Starts a task that serves the turns of waiting calls, unless one runs or none waits.
+    fn ensure_turns_served(self: &Arc<Self>, state: &mut State, now: Timestamp) {
+        if !state.serves_turns && state.admission.next_turn(now).is_some() {
+            state.serves_turns = true;
+            tokio::spawn(self.clone().serve_turns());
+        }
+    }
+
+    /// Starts waiting calls at their turns, until none waits.
+    async fn serve_turns(self: Arc<Self>) {
+        loop {
+            let wait = {
+                let mut state = self.lock();
+                let wait = state.serve_turn(self.clock.now());
+                state.serves_turns = wait.is_some();
+                wait
+            };
+            let Some(wait) = wait else {
+                return;
+            };
+            sleep(wait).await;
+        }
+    }
+
+    /// Replaces the limit on the rate of calls, and returns the one before.
+    pub(crate) fn set_rate_limit(self: &Arc<Self>, limit: Option<CallRate>) -> Option<CallRate> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let previous = state.admission.rate_limit();
+        if previous != limit {
+            state.admission.set_rate_limit(now, limit);
+            let admitted = state.admission.admit_waiting(now);
+            state.notify_waiting(now, admitted);
+            self.ensure_turns_served(&mut state, now);
+        }
+        previous
+    }
+
+    /// The limit on the rate of calls.
+    pub(crate) fn rate_limit(&self) -> Option<CallRate> {
+        self.lock().admission.rate_limit()
+    }
+
     fn slot(self: &Arc<Self>, ticket: Ticket) -> Slot {
         Slot {
             slots: self.clone(),
--- a/trefoillock-backend/tests/statements.rs
+++ b/trefoillock-backend/tests/statements.rs
@@ -110,17 +110,9 @@
     ])
     .await;
     let registry = BackendRegistry::new(Clock::start());
-    let announced = registry.announce(Announcement {
-        address,
-        service: ServiceName::try_from("treaty-desk").expect("a name"),
-        version: VersionLabel::try_from("1").expect("a name"),
-        incarnation: Incarnation::new(1),
-        slots: 1,
-        connections: 1,
-        state: MemberState::Up,
-        instance: None,
-    });
-    announced.expect("accepted");
+    registry
+        .announce(announcement(address, 1))
+        .expect("accepted");
     let servers = registry.servers();
     let mut events = servers.subscribe_events();
     let server = servers.get(address).expect("a server");
@@ -152,3 +144,79 @@
         [limit(Some(300.0), Some(200.0)), limit(None, Some(300.0))]
     );
 }
+
+fn announcement(address: SocketAddr, incarnation: u64) -> Announcement {
+    Announcement {
+        address,
+        service: ServiceName::try_from("treaty-desk").expect("a name"),
+        version: VersionLabel::try_from("1").expect("a name"),
+        incarnation: Incarnation::new(incarnation),
+        slots: 1,
+        connections: 1,
+        state: MemberState::Up,
+        instance: None,
+    }
+}
+
+#[tokio::test]
+async fn a_run_whose_announcements_were_late_keeps_its_slots_and_what_it_has_stated() {
+    let address = backend_server(&["trefoillock-limit: 0\r\n"]).await;
+    let registry = BackendRegistry::new(Clock::start());
+    let servers = registry.servers();
+    servers.update(&[announcement(address, 1)]);
+    let server = servers.get(address).expect("a server");
+    call(&server).await;
+    // The lease has ended, and the same run is announced again.
+    servers.update(&[]);
+    assert!(servers.get(address).is_none());
+    assert!(server.check_available().is_err());
+    servers.update(&[announcement(address, 1)]);
+    let again = servers.get(address).expect("a server");
+    assert!(Arc::ptr_eq(&server, &again), "calls in flight count on");
+    assert_eq!(again.rate_limit(), Some(CallRate::ZERO));
+    assert!(again.check_available().is_ok());
+
+    servers.update(&[announcement(address, 2)]);
+    let successor = servers.get(address).expect("a server");
+    assert_eq!(successor.rate_limit(), None);
+}
+
+#[tokio::test]
+async fn a_run_that_says_it_leaves_stays_draining_and_its_successor_does_not() {
+    let address = backend_server(&["trefoillock-leaving: 1\r\n"]).await;
+    let registry = BackendRegistry::new(Clock::start());
+    let announced = |incarnation| registry.announce(announcement(address, incarnation));
+    announced(1).expect("accepted");
+    let servers = registry.servers();
+    let server = servers.get(address).expect("a server");
+    call(&server).await;
+    assert!(server.is_leaving() && server.check_available().is_err());
+    // Neither the next announcement nor the end of the lease makes it available again.
+    announced(1).expect("accepted");
+    assert_eq!(
+        registry.subscribe().borrow()[0].state,
+        MemberState::Draining
+    );
+    servers.update(&[]);
+    servers.update(&[announcement(address, 1)]);
+    let again = servers.get(address).expect("a server");
+    assert!(again.check_available().is_err());
+
+    announced(2).expect("accepted");
+    let successor = servers.get(address).expect("a server");
+    assert!(successor.check_available().is_ok());
+    assert_eq!(registry.subscribe().borrow()[0].state, MemberState::Up);
+}
+
+#[tokio::test]
+async fn a_limit_that_another_node_knows_holds_until_the_server_answers() {
+    let address = backend_server(&[""]).await;
+    let server = Arc::new(LocalServer::new(announcement(address, 1), Clock::start()));
+    let known = rate(50.0);
+    server.inherit_limit(known);
+    assert_eq!(server.rate_limit(), Some(known));
+    call(&server).await;
+    assert_eq!(server.rate_limit(), None, "the server states no limit");
+    server.inherit_limit(known);
+    assert_eq!(server.rate_limit(), None, "the server knows better");
+}
--- a/trefoillock-caller/src/attempt_tracker.rs
+++ b/trefoillock-caller/src/attempt_tracker.rs
@@ -25,7 +25,6 @@
     pool: Arc<PoolState>,
     member: Arc<Member>,
     started: Instant,
-    hint: Option<LoadHint>,
     result: CallResult,
 }
 
@@ -36,7 +35,6 @@
             pool,
             member,
             started: Instant::now(),
-            hint: None,
             result: CallResult::Cancelled,
         }
     }
@@ -53,7 +51,10 @@
 
     /// Records that the head of a response has arrived.
     pub(crate) fn record_head(&mut self, hint: Option<LoadHint>, server_error: bool) {
-        self.hint = hint;
+        if let Some(hint) = hint {
+            let now = self.clock.now();
+            self.pool.record_hint(now, &self.member.id, hint);
+        }
         self.result = if server_error {
             CallResult::Failed
         } else {
@@ -69,6 +70,9 @@
     /// Records a failure and ends the attempt.
     pub(crate) fn record_failure(mut self, failure: &CallFailure) {
         self.result = match (failure.reason(), failure.execution()) {
+            (RefusalReason::RateLimited, _) => {
+                CallResult::RateLimited(failure.retry_after().unwrap_or_default())
+            }
             (RefusalReason::Overloaded | RefusalReason::RefusedByServer, _)
             | (RefusalReason::Deadline, Execution::DidNotRun(_)) => CallResult::Overloaded,
             _ => CallResult::Failed,
@@ -80,7 +84,7 @@
     fn drop(&mut self) {
         let now = self.clock.now();
         let id = &self.member.id;
-        self.pool.end_attempt(now, id, self.result, self.hint);
+        self.pool.end_attempt(now, id, self.result);
     }
 }
 
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -8,8 +8,8 @@
 use tokio::time::sleep;
 use trefoillock_backend::{Body, CallFailure, Crash, Execution};
 use trefoillock_core::{CrashReport, Member, RefusalReason, RouteClass, ServerId, Timestamp};
-use trefoillock_node::{CallLine, Delivery, NodeContext, random_u32};
-use trefoillock_policy::{Attempt, LoadHint, RetryDecision, SentState};
+use trefoillock_node::{CallLine, Delivery, NodeContext, ServerReport, random_u32};
+use trefoillock_policy::{Attempt, RetryDecision, SentState};
 
 use crate::{
     attempt_tracker::{AttemptTracker, TrackedBody},
@@ -226,9 +226,19 @@
     req: Request<Body>,
 ) -> Result<Response<Body>, CallFailure> {
     let member = tracker.member().clone();
-    match cx.send(&member, delivery(call, &member), req).await {
+    if cx.view().has_left(&member) {
+        let failure = refusal(RefusalReason::Draining);
+        tracker.record_failure(&failure);
+        return Err(failure);
+    }
+    let delivery = delivery(call, &member).with_known_limit(cx.view().known_limit(&member));
+    match cx.send(&member, delivery, req).await {
         Ok(mut resp) => {
-            let hint = resp.extensions_mut().remove::<LoadHint>();
+            let report = resp.extensions_mut().remove::<ServerReport>();
+            if let Some(report) = &report {
+                cx.view().record_report(&member, report);
+            }
+            let hint = report.map(|report| report.load);
             tracker.record_head(hint, resp.status().is_server_error());
             Ok(resp.map(|body| TrackedBody::new(body, tracker).boxed_unsync()))
         }
--- a/trefoillock-caller/src/pool_state.rs
+++ b/trefoillock-caller/src/pool_state.rs
@@ -61,15 +61,14 @@
         Some(member)
     }
 
+    /// Applies a load hint that arrived with the head of a response.
+    pub(crate) fn record_hint(&self, now: Timestamp, id: &ServerId, hint: LoadHint) {
+        self.lock().balancer.record_hint(now, id, hint);
+    }
+
     /// Counts the end of an attempt.
-    pub(crate) fn end_attempt(
-        &self,
-        now: Timestamp,
-        id: &ServerId,
-        result: CallResult,
-        hint: Option<LoadHint>,
-    ) {
-        self.lock().balancer.record_end(now, id, result, hint);
+    pub(crate) fn end_attempt(&self, now: Timestamp, id: &ServerId, result: CallResult) {
+        self.lock().balancer.record_end(now, id, result, None);
     }
 
     /// Whether the pool has a backend server that is not in `tried`.
--- a/trefoillock-core/src/outcome.rs
+++ b/trefoillock-core/src/outcome.rs
@@ -62,6 +62,8 @@
     NoServer,
     /// No slot or connection was available in time, or the guards could store no more keys.
     Overloaded,
+    /// The backend server takes calls at a limited rate, and no turn comes in time.
+    RateLimited,
     /// The deadline passed.
     Deadline,
     /// The destination could not be reached.
@@ -100,6 +102,7 @@
             Self::NoRoute => "no-route",
             Self::NoServer => "no-server",
             Self::Overloaded => "overloaded",
+            Self::RateLimited => "rate-limited",
             Self::Deadline => "deadline",
             Self::Unreachable => "unreachable",
             Self::Draining => "draining",
@@ -130,6 +133,7 @@
             Self::Deadline => 504,
             Self::NoServer
             | Self::Overloaded
+            | Self::RateLimited
             | Self::Unreachable
             | Self::Draining
             | Self::RefusedByServer
--- a/trefoillock-node/src/delivery.rs
+++ b/trefoillock-node/src/delivery.rs
@@ -5,13 +5,25 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use tokio::time::Instant;
 use trefoillock_core::{
-    DEFAULT_PRIORITY, Fingerprint, RouteClass, ServerId, ServiceName, VersionLabel, headers,
+    CallRate, DEFAULT_PRIORITY, Fingerprint, Incarnation, RouteClass, ServerId, ServiceName,
+    VersionLabel, headers,
 };
 
 use crate::headers::{
-    CLASS, FINGERPRINT, OBJECTIVE_MS, QUEUE_MS, RANK, SERVER, SERVICE, VERSION, header_text,
+    CLASS, FINGERPRINT, KNOWN_LIMIT, OBJECTIVE_MS, QUEUE_MS, RANK, SERVER, SERVICE, VERSION,
+    header_text,
 };
 
+/// The limit on the rate of calls to a backend server that an entry node knows. A destination node
+/// that has restarted learns it so before the backend server states it again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownLimit {
+    /// The rate of calls that the backend server takes from all nodes together.
+    pub rate: CallRate,
+    /// The incarnation of the backend server that stated it.
+    pub incarnation: Incarnation,
+}
+
 /// The backend server that a call is sent to, and the limits of the call.
 #[derive(Debug, Clone)]
 pub struct Delivery {
@@ -34,6 +46,8 @@
     /// The time by which the response should be complete to meet the route's target latency; `None`
     /// if only the deadline counts.
     pub objective: Option<Instant>,
+    /// The limit on the rate of calls that the entry node knows; `None` if it knows none.
+    pub known_limit: Option<KnownLimit>,
 }
 
 impl Delivery {
@@ -51,9 +65,17 @@
             queue_timeout: Duration::ZERO,
             rank: DEFAULT_PRIORITY,
             objective: None,
+            known_limit: None,
         }
     }
 
+    /// Sets the limit on the rate of calls that the entry node knows.
+    #[must_use]
+    pub const fn with_known_limit(mut self, known_limit: Option<KnownLimit>) -> Self {
+        self.known_limit = known_limit;
+        self
+    }
+
     /// Sets the class and the fingerprint of the request.
     #[must_use]
     pub const fn with_request(mut self, class: RouteClass, fingerprint: Fingerprint) -> Self {
@@ -94,6 +116,10 @@
             let left = objective.saturating_duration_since(Instant::now());
             set_header(map, OBJECTIVE_MS, &left.as_millis().to_string());
         }
+        if let Some(known) = self.known_limit {
+            let text = format!("{},{}", known.rate.micros_per_s(), known.incarnation);
+            set_header(map, KNOWN_LIMIT, &text);
+        }
     }
 
     /// Reads a delivery from the headers of a call between nodes; `None` if a required header is
@@ -117,10 +143,19 @@
                 .unwrap_or(DEFAULT_PRIORITY),
             objective: number(OBJECTIVE_MS)
                 .and_then(|millis| Instant::now().checked_add(Duration::from_millis(millis))),
+            known_limit: read_known_limit(map),
         })
     }
 }
 
+fn read_known_limit(map: &HeaderMap) -> Option<KnownLimit> {
+    let (rate, incarnation) = header_text(map, KNOWN_LIMIT)?.split_once(',')?;
+    Some(KnownLimit {
+        rate: CallRate::try_from(rate.parse::<u64>().ok()?).ok()?,
+        incarnation: Incarnation::new(incarnation.parse().ok()?),
+    })
+}
+
 /// Sets a header whose value is known to be printable.
 fn set_header(map: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -11,8 +11,8 @@
 use trefoillock_core::{CrashReport, RefusalReason, RouteClass, ServerId};
 
 use crate::{
-    CallLine, Delivery, NodeContext, detached_body::detach_body, headers::header_text,
-    strip_hop_by_hop, strip_internal, watched_body::WatchedBody,
+    CallLine, Delivery, NodeContext, ServerReport, detached_body::detach_body,
+    headers::header_text, strip_hop_by_hop, strip_internal, watched_body::WatchedBody,
 };
 
 /// The time within which a restart of a backend server counts as the cause of a lost connection.
@@ -32,6 +32,11 @@
     let server = find_server(cx, &delivery).inspect_err(|failure| {
         log_failure(cx, &id, &delivery, failure, None, arrived);
     })?;
+    if let Some(known) = delivery.known_limit
+        && known.incarnation == server.announcement().incarnation
+    {
+        server.inherit_limit(known.rate);
+    }
     strip_hop_by_hop(req.headers_mut());
     strip_internal(req.headers_mut());
     req.headers_mut().remove(header::EXPECT);
@@ -92,7 +97,7 @@
         Ok(mut resp) => {
             strip_hop_by_hop(resp.headers_mut());
             strip_internal(resp.headers_mut());
-            resp.extensions_mut().insert(server.load_hint());
+            resp.extensions_mut().insert(ServerReport::from(&*server));
             let on_cut = move || watch_crash(cx, server, report);
             Ok(resp.map(|body| {
                 let body = DeadlineBody::new(body, limits.deadline).boxed_unsync();
@@ -142,6 +147,8 @@
                 ("slots", load.slots.to_string()),
                 ("pause", format!("{}ms", retry_after.as_millis())),
             ]);
+            let limit = load.limit.map(|limit| limit.rate.to_string());
+            fields.extend(limit.map(|limit| ("limit", limit)));
         }
         fields
     });
--- a/trefoillock-node/src/headers.rs
+++ b/trefoillock-node/src/headers.rs
@@ -26,6 +26,9 @@
 
 /// Between nodes: the load of the backend server, on responses.
 pub(crate) const LOAD: &str = "trefoillock-load";
+/// Between nodes: the limit on the rate of calls that the entry node knows, in millionths of a call
+/// per second, and the incarnation of the backend server that stated it.
+pub(crate) const KNOWN_LIMIT: &str = "trefoillock-known-limit";
 
 /// Headers that apply to a single connection (hop-by-hop headers).
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -42,7 +45,7 @@
 
 /// Headers that are removed from messages of callers and backend servers, because only nodes may
 /// set them.
-const INTERNAL: [&str; 19] = [
+const INTERNAL: [&str; 20] = [
     headers::OUTCOME,
     headers::REASON,
     headers::DEADLINE_MS,
@@ -62,6 +65,7 @@
     RETRY_AFTER_MS,
     CRASHED,
     LOAD,
+    KNOWN_LIMIT,
 ];
 
 /// Removes hop-by-hop headers, and the headers that `connection` names.
--- a/trefoillock-node/src/peer_clients.rs
+++ b/trefoillock-node/src/peer_clients.rs
@@ -18,7 +18,7 @@
 use trefoillock_core::{Map, RefusalReason, headers};
 use trefoillock_rpc::Token;
 
-use crate::{Delivery, load_header::read_load, read_failure, strip_hop_by_hop, strip_internal};
+use crate::{Delivery, ServerReport, read_failure, strip_hop_by_hop, strip_internal};
 
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -193,8 +193,8 @@
         return Err(CallFailure::may_have_run(RefusalReason::ConnectionLost));
     }
     let mut resp = resp.map(box_body);
-    if let Some(hint) = read_load(resp.headers()) {
-        resp.extensions_mut().insert(hint);
+    if let Some(report) = ServerReport::read(resp.headers()) {
+        resp.extensions_mut().insert(report);
     }
     strip_internal(resp.headers_mut());
     Ok(resp)
--- a/trefoillock-node/src/refusal.rs
+++ b/trefoillock-node/src/refusal.rs
@@ -50,6 +50,7 @@
         reason,
         RefusalReason::NoServer
             | RefusalReason::Overloaded
+            | RefusalReason::RateLimited
             | RefusalReason::Unreachable
             | RefusalReason::Draining
             | RefusalReason::RefusedByServer
--- a/trefoillock-node/src/serve_peer.rs
+++ b/trefoillock-node/src/serve_peer.rs
@@ -9,12 +9,11 @@
 use tokio_util::sync::CancellationToken;
 use trefoillock_backend::{Body, CallFailure, NotExecuted, box_body};
 use trefoillock_core::{Outcome, RefusalReason, headers};
-use trefoillock_policy::LoadHint;
 use trefoillock_rpc::RpcServer;
 
 use crate::{
-    Delivery, NodeContext, ServerLimits, destination::deliver, failure_response, headers::SERVER,
-    load_header::write_load, serve_http,
+    Delivery, NodeContext, ServerLimits, ServerReport, destination::deliver, failure_response,
+    headers::SERVER, serve_http,
 };
 
 /// The prefix of the paths of messages between guards.
@@ -83,8 +82,8 @@
         Ok(mut resp) => {
             let answered = HeaderValue::from_static(Outcome::Answered.as_str());
             resp.headers_mut().insert(headers::OUTCOME, answered);
-            if let Some(hint) = resp.extensions_mut().remove::<LoadHint>() {
-                write_load(resp.headers_mut(), &hint);
+            if let Some(report) = resp.extensions_mut().remove::<ServerReport>() {
+                report.write(resp.headers_mut());
             }
             resp
         }
--- a/trefoillock-node/src/view.rs
+++ b/trefoillock-node/src/view.rs
@@ -4,12 +4,12 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use trefoillock_core::{
-    Config, CrashReport, Fingerprint, Map, Member, Members, Pool, PoolName, PoolVersions,
-    RolloutShare, Timestamp,
+    Config, CrashReport, DrainedRuns, Fingerprint, Map, Member, Members, Pool, PoolName,
+    PoolVersions, RolloutShare, Timestamp,
 };
 use trefoillock_policy::Quarantine;
 
-use crate::RouteIndex;
+use crate::{KnownLimit, RouteIndex, ServerReport, stated_limits::StatedLimits};
 
 /// A configuration with its route index and the pools of its rollouts.
 #[derive(Debug)]
@@ -95,11 +95,16 @@
 
 /// The configuration and the list of members that a node has received. Each is replaced as a whole,
 /// and never by an older version.
+///
+/// A run of a backend server that has drained, by a list of members or by what it said itself,
+/// never counts as available again, whatever a later list says.
 #[derive(Debug, Default)]
 pub struct NodeView {
     config: ArcSwapOption<IndexedConfig>,
     members: ArcSwap<Members>,
     servers_by_pool: ArcSwap<ServersByPool>,
+    drained: ArcSwap<DrainedRuns>,
+    limits: ArcSwap<StatedLimits>,
     quarantine: Mutex<Quarantine>,
     write_lock: Mutex<()>,
 }
@@ -123,7 +128,7 @@
             return false;
         }
         let indexed = IndexedConfig::new(config);
-        let by_pool = servers_by_pool(&indexed, &self.members.load());
+        let by_pool = servers_by_pool(&indexed, &self.members.load(), &self.drained.load());
         self.servers_by_pool.store(Arc::new(by_pool));
         self.config.store(Some(Arc::new(indexed)));
         true
@@ -138,8 +143,10 @@
         if members.version < self.members.load().version {
             return false;
         }
+        let draining = members.servers.values().filter(|member| !member.is_up());
+        self.insert_drained(draining.map(Arc::as_ref));
         if let Some(indexed) = self.config.load_full() {
-            let by_pool = servers_by_pool(&indexed, &members);
+            let by_pool = servers_by_pool(&indexed, &members, &self.drained.load());
             self.servers_by_pool.store(Arc::new(by_pool));
         }
         self.lock_quarantine().sync(&members.quarantined);
@@ -147,6 +154,56 @@
         true
     }
 
+    /// Records what a backend server has stated in a response to this node. One that leaves gets no
+    /// new calls from this node, whatever a list of members says.
+    pub fn record_report(&self, member: &Member, report: &ServerReport) {
+        let leaves = report.is_leaving && !self.has_left(member);
+        if !leaves && !self.limits.load().differs_from(member, report) {
+            return;
+        }
+        let _lock = self
+            .write_lock
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let mut limits = self.limits.load().as_ref().clone();
+        limits.record(member, report, &self.members.load());
+        self.limits.store(Arc::new(limits));
+        if !leaves {
+            return;
+        }
+        self.insert_drained(std::iter::once(member));
+        if let Some(indexed) = self.config.load_full() {
+            let by_pool = servers_by_pool(&indexed, &self.members.load(), &self.drained.load());
+            self.servers_by_pool.store(Arc::new(by_pool));
+        }
+    }
+
+    /// The limit on the rate of calls that the run of a backend server has stated in responses to
+    /// this node; `None` if it states none.
+    #[must_use]
+    pub fn known_limit(&self, member: &Member) -> Option<KnownLimit> {
+        self.limits.load().get(member)
+    }
+
+    /// Whether the run of a backend server has drained, as far as this node knows.
+    #[must_use]
+    pub fn has_left(&self, member: &Member) -> bool {
+        self.drained.load().contains(member)
+    }
+
+    /// Adds members to the drained runs. The write lock must be held.
+    fn insert_drained<'a>(&self, members: impl Iterator<Item = &'a Member>) {
+        let drained = self.drained.load_full();
+        let mut next = None;
+        for member in members.filter(|member| !drained.contains(member)) {
+            let next: &mut DrainedRuns = next.get_or_insert_with(|| drained.as_ref().clone());
+            next.insert(member);
+        }
+        if let Some(next) = next {
+            self.drained.store(Arc::new(next));
+        }
+    }
+
     /// Whether requests with this fingerprint are refused because they crashed backend servers.
     #[must_use]
     pub fn is_quarantined(&self, now: Timestamp, fingerprint: Fingerprint) -> bool {
@@ -198,10 +255,18 @@
     }
 }
 
-fn servers_by_pool(indexed: &IndexedConfig, members: &Members) -> ServersByPool {
+fn servers_by_pool(
+    indexed: &IndexedConfig,
+    members: &Members,
+    drained: &DrainedRuns,
+) -> ServersByPool {
     let mut by_pool = ServersByPool::default();
     for pool in indexed.pools() {
-        let servers: Arc<[_]> = members.available_in(pool).cloned().collect();
+        let available = members.available_in(pool);
+        let servers: Arc<[_]> = available
+            .filter(|member| !drained.contains(member))
+            .cloned()
+            .collect();
         let parts = by_pool.entry(pool.name.clone()).or_default();
         parts.push((pool.versions.clone(), servers));
     }
--- a/trefoillock-policy/src/admission.rs
+++ b/trefoillock-policy/src/admission.rs
@@ -3,10 +3,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use trefoillock_core::{Map, RefusalReason, RouteClass, Timestamp, data};
+use trefoillock_core::{CallRate, Map, RefusalReason, RouteClass, Timestamp, data};
 
 use crate::{
-    Demand, Lane, LoadHint,
+    Demand, Lane, LimitHint, LoadHint,
+    rate_limiter::RateLimiter,
     service_time::ServiceTime,
     wait_queue::{WaitQueue, WaitingCall},
 };
@@ -92,6 +93,11 @@
 /// once if the calls ahead of it make that unlikely. While such calls wait, the server does not
 /// count as overloaded.
 ///
+/// If the server has stated a limit on the rate of calls, a call also needs its turn. Turns go to
+/// the same lanes in the same order, and within a lane to the classes in their order, because
+/// turns, unlike slots, are not worth less to a short call. A call whose turn would come too late
+/// is refused at once, also when a call of a higher lane takes its turn.
+///
 /// Every refusal happens before the call is forwarded, so a refused call has not run.
 #[derive(Debug)]
 pub struct Admission {
@@ -99,6 +105,7 @@
     max_connections: u32,
     queue_time: Duration,
     connections: u32,
+    rate: RateLimiter,
     running: Map<Ticket, RunningCall>,
     running_by_kind: BTreeMap<Lane, u32>,
     queue: WaitQueue,
@@ -126,6 +133,7 @@
             max_connections: connections,
             queue_time,
             connections: 0,
+            rate: RateLimiter::default(),
             running: Map::default(),
             running_by_kind: BTreeMap::new(),
             queue: WaitQueue::default(),
@@ -147,6 +155,19 @@
         self.queue_time = queue_time;
     }
 
+    /// Replaces the limit on the rate of calls that the server takes; `None` if it states none.
+    /// Call [`Self::admit_waiting`] and [`Self::expire`] afterwards.
+    pub fn set_rate_limit(&mut self, now: Timestamp, limit: Option<CallRate>) {
+        self.rate.set_limit(now, limit);
+        self.refuse_without_turn(now);
+    }
+
+    /// The limit on the rate of calls; `None` if there is none.
+    #[must_use]
+    pub const fn rate_limit(&self) -> Option<CallRate> {
+        self.rate.limit()
+    }
+
     /// Sets the time after which no new call starts unless the lease is renewed again. Before the
     /// first renewal there is no such limit.
     pub const fn renew_lease(&mut self, until: Timestamp) {
@@ -226,6 +247,21 @@
         self.admit(now)
     }
 
+    /// Returns the waiting calls that run from now on because their turn has come. Call
+    /// [`Self::expire`] afterwards.
+    #[must_use]
+    pub fn admit_waiting(&mut self, now: Timestamp) -> Vec<Ticket> {
+        self.admit(now)
+    }
+
+    /// The time at which [`Self::admit_waiting`] must be called next. `None` if no call waits for a
+    /// turn.
+    #[must_use]
+    pub fn next_turn(&self, now: Timestamp) -> Option<Timestamp> {
+        let waits = self.rate.limit().is_some() && !self.queue.is_empty();
+        waits.then(|| now + self.rate.wait(now, 0))
+    }
+
     /// Removes a waiting or running call whose caller has gone. Returns the waiting calls that run
     /// from now on.
     #[must_use]
@@ -274,6 +310,13 @@
             queued: count(self.queue.len()),
             slots: self.slots,
             queue_delay_us: u32::try_from(delay).unwrap_or(u32::MAX),
+            limit: self.rate.limit().map(|rate| {
+                let wait = self.rate.wait(now, self.queue.len()).as_micros();
+                LimitHint {
+                    rate,
+                    wait_us: u32::try_from(wait).unwrap_or(u32::MAX),
+                }
+            }),
         }
     }
 
@@ -339,9 +382,27 @@
         has_running && now + self.service_time_of(kind).upper_bound() > deadline
     }
 
+    /// The expected time until a call offered now starts if no calls arrive after it.
+    fn expected_wait(&self, now: Timestamp, demand: &Demand) -> Duration {
+        self.expected_slot_wait(demand)
+            .max(self.expected_turn(now, demand))
+    }
+
+    /// The time until the turn of a call offered now, if no calls arrive after it.
+    fn expected_turn(&self, now: Timestamp, demand: &Demand) -> Duration {
+        if self.rate.limit().is_none() {
+            return Duration::ZERO;
+        }
+        let (lane, kind) = (demand.lane(), demand.kind());
+        let ahead = self
+            .queue
+            .count_before_by_kind(lane, kind, demand.objective);
+        self.rate.wait(now, ahead)
+    }
+
     /// The expected time until a call offered now gets a slot if no calls arrive after it. The
     /// lanes ahead of it are served first, and the kinds within its own lane share the slots.
-    fn expected_wait(&self, demand: &Demand) -> Duration {
+    fn expected_slot_wait(&self, demand: &Demand) -> Duration {
         let (lane, kind) = (demand.lane(), demand.kind());
         let count = |calls: usize| u32::try_from(calls).unwrap_or(u32::MAX);
         let before = self.slot_time.mean() * count(self.queue.count_before(lane));
@@ -354,17 +415,19 @@
         (before + own) / self.slots.max(1)
     }
 
-    /// The estimated time until the queue has emptied, after which a refused call should be
-    /// retried.
+    /// The estimated time until the queue has emptied and there is a turn for another call, after
+    /// which a refused call should be retried.
     #[must_use]
-    pub fn retry_after(&self) -> Duration {
+    pub fn retry_after(&self, now: Timestamp) -> Duration {
         let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-        (self.slot_time.mean() / self.slots.max(1) * queued.saturating_add(1)).max(MIN_RETRY_DELAY)
+        let slot = self.slot_time.mean() / self.slots.max(1) * queued.saturating_add(1);
+        let turn = self.rate.wait(now, self.queue.len());
+        slot.max(turn).max(MIN_RETRY_DELAY)
     }
 
     /// Whether a slot is free for a call of a class.
     fn has_slot(&self, now: Timestamp, class: RouteClass) -> bool {
-        if self.running.len() >= self.slots as usize {
+        if self.running.len() >= self.slots as usize || !self.rate.has_turn(now) {
             return false;
         }
         let exports = || {
@@ -399,6 +462,7 @@
     }
 
     fn start(&mut self, now: Timestamp, ticket: Ticket, kind: Lane) {
+        self.rate.take_turn(now);
         self.running.insert(
             ticket,
             RunningCall {
@@ -424,7 +488,11 @@
             None => self.max_wait(demand.class),
         };
         let demand = self.deprioritize_missed_objective(now, demand);
-        let misses_objective = demand.objective.is_some() && self.expected_wait(&demand) > max_wait;
+        if self.expected_turn(now, &demand) > max_wait.min(self.spare_time(now, &demand)) {
+            return Offer::Refused(RefusalReason::RateLimited);
+        }
+        let misses_objective =
+            demand.objective.is_some() && self.expected_wait(now, &demand) > max_wait;
         if max_wait.is_zero() || misses_objective || !self.evict_for(lane) {
             return Offer::Refused(RefusalReason::Overloaded);
         }
@@ -437,9 +505,23 @@
             objective: demand.objective,
         };
         self.queue.push(lane, waiting);
+        self.refuse_without_turn(now);
         Offer::Queued
     }
 
+    /// Refuses the waiting calls whose turn would come too late.
+    fn refuse_without_turn(&mut self, now: Timestamp) {
+        if self.rate.limit().is_none() {
+            return;
+        }
+        while let Some(last) = self.queue.last_by_kind()
+            && now + self.rate.wait(now, self.queue.len() - 1) > last.expires_at
+        {
+            self.queue.remove(last.ticket);
+            self.refuse(last.ticket, RefusalReason::RateLimited);
+        }
+    }
+
     /// Moves a call that would miss its objective even if it ran at once behind the calls that can
     /// still meet theirs, by setting its objective to its deadline.
     fn deprioritize_missed_objective(&self, now: Timestamp, demand: Demand) -> Demand {
@@ -460,6 +542,12 @@
         max_wait.max(MIN_OBJECTIVE_WAIT)
     }
 
+    /// The time that a call may wait and still be answered by its deadline.
+    fn spare_time(&self, now: Timestamp, demand: &Demand) -> Duration {
+        let service_time = self.service_time_of(demand.kind()).typical();
+        demand.deadline.since(now).saturating_sub(service_time)
+    }
+
     /// If the queue is full, refuses the first call of the last lane to make room for a call of a
     /// higher lane. Returns whether there is room.
     fn evict_for(&mut self, lane: Lane) -> bool {
@@ -497,11 +585,19 @@
 
     /// Removes the next call to start from a lane.
     ///
+    /// Under a limit on the rate of calls the classes follow one another in their order, within a
+    /// class by objective, then by arrival. Otherwise:
+    ///
     /// If calls with an objective wait, the kind that occupies the fewest slots is next, so that
     /// short calls between services and long postings of the same rank cannot starve each other;
     /// within that kind, the call with the earliest objective is next. Otherwise the newest lookup
     /// is next under overload, and the oldest call in all other cases.
     fn pop_next(&mut self, lane: Lane) -> Option<WaitingCall> {
+        if self.rate.limit().is_some() {
+            let firsts = self.queue.first_of_each_kind(lane).into_iter();
+            let next = firsts.min_by_key(|waiting| waiting.kind)?;
+            return self.queue.remove(next.ticket);
+        }
         if self.queue.has_objectives() {
             let firsts = self.queue.first_of_each_kind(lane);
             let next = firsts
@@ -524,7 +620,7 @@
             let reason = if now >= late.deadline {
                 RefusalReason::Deadline
             } else {
-                RefusalReason::Overloaded
+                self.wait_reason()
             };
             self.refuse(late.ticket, reason);
         }
@@ -535,12 +631,21 @@
             let max_wait = self.max_wait(class);
             for lane in self.lanes_of(class) {
                 while let Some(old) = self.queue.pop_first_if_older(now, lane, max_wait) {
-                    self.refuse(old.ticket, RefusalReason::Overloaded);
+                    self.refuse(old.ticket, self.wait_reason());
                 }
             }
         }
     }
 
+    /// What calls wait for: a slot or a turn.
+    fn wait_reason(&self) -> RefusalReason {
+        if self.rate.limit().is_some() && self.running.len() < self.slots as usize {
+            RefusalReason::RateLimited
+        } else {
+            RefusalReason::Overloaded
+        }
+    }
+
     fn refuse(&mut self, ticket: Ticket, reason: RefusalReason) {
         self.pending_refusals.push(RefusedCall { ticket, reason });
     }
--- a/trefoillock-policy/src/balancer.rs
+++ b/trefoillock-policy/src/balancer.rs
@@ -22,6 +22,9 @@
 /// calls because of a number that it reports. A load hint at most doubles the cost of a server and
 /// fades within two seconds, while results seen by this node count in full.
 ///
+/// A server that takes calls at a limited rate is left out until there is room for another call, as
+/// far as this node knows, unless all others are left out too.
+///
 /// Servers that keep failing are ejected for a time, unless half of the servers or more would then
 /// be ejected, and are probed by single calls before they are healthy again. Servers in the same
 /// data centre are preferred until their utilization is high.
@@ -113,7 +116,8 @@
         if let Some(probe) = self.pick_probe(now, class, exclude) {
             return Some(probe.id.clone());
         }
-        let usable = |server: &&ServerLoad| server.is_healthy() && !exclude.contains(&server.id);
+        let is_open = |server: &&ServerLoad| server.is_healthy() && !exclude.contains(&server.id);
+        let usable = |server: &&ServerLoad| is_open(server) && server.full_until() <= now;
         let is_local = |server: &ServerLoad| server.data_centre == self.data_centre;
         let local = self.select_of_two(now, &mut rng, |s| usable(&s) && is_local(s));
         let spills_over = local.is_none_or(|local| self.should_spill_over(now, class, local));
@@ -137,6 +141,10 @@
             (local, remote) => local.or(remote),
         };
         let best = best
+            .or_else(|| {
+                let open = self.servers.iter().filter(is_open);
+                open.min_by_key(|server| server.full_until())
+            })
             .or_else(|| self.select_of_two(now, &mut rng, |server| !exclude.contains(&server.id)));
         best.map(|server| server.id.clone())
     }
@@ -148,6 +156,13 @@
         }
     }
 
+    /// Applies a load hint that arrived with the head of an answer.
+    pub fn record_hint(&mut self, now: Timestamp, id: &ServerId, hint: LoadHint) {
+        if let Some(server) = self.server_mut(id) {
+            server.record_hint(now, hint);
+        }
+    }
+
     /// Counts the end of a started call, with the load hint that arrived with its answer.
     pub fn record_end(
         &mut self,
--- a/trefoillock-policy/src/lib.rs
+++ b/trefoillock-policy/src/lib.rs
@@ -30,6 +30,7 @@
 mod hedge_policy;
 mod load_hint;
 mod quarantine;
+mod rate_limiter;
 mod retry_budget;
 mod retry_decision;
 mod server_load;
@@ -49,7 +50,7 @@
     StoredAnswer, Vote, plan_guards, uuid_v7_time,
 };
 pub use hedge_policy::HedgePolicy;
-pub use load_hint::{CallResult, LoadHint};
+pub use load_hint::{CallResult, LimitHint, LoadHint};
 pub use quarantine::Quarantine;
 pub use retry_budget::RetryBudget;
 pub use retry_decision::{Attempt, GiveUp, RetryDecision, SentState, retry_decision};
--- a/trefoillock-policy/src/load_hint.rs
+++ b/trefoillock-policy/src/load_hint.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use trefoillock_core::data;
+use trefoillock_core::{CallRate, data};
 
 /// The load of a backend server as reported by the node on its VM, sent with every answer.
 ///
@@ -17,6 +17,17 @@
     pub slots: u32,
     /// The time that the call at the head of the queue has waited, in microseconds.
     pub queue_delay_us: u32,
+    /// The limit on the rate of calls; `None` if there is none.
+    pub limit: Option<LimitHint>,
+}
+
+/// The limit on the rate of calls to a backend server, and when there is room for another call.
+#[data(key)]
+pub struct LimitHint {
+    /// The rate of calls that the backend server takes from all nodes together.
+    pub rate: CallRate,
+    /// The time until a call that arrives now would start, in microseconds.
+    pub wait_us: u32,
 }
 
 impl LoadHint {
@@ -37,6 +48,9 @@
     Failed,
     /// The destination node refused the call for lack of capacity.
     Overloaded,
+    /// The destination node refused the call because of the limit on the rate of calls. The
+    /// duration is the time until there is room for a call.
+    RateLimited(Duration),
     /// The caller cancelled the call, or another copy of a hedged call was answered first. The
     /// result says nothing about the server.
     Cancelled,
--- a/trefoillock-policy/src/retry_decision.rs
+++ b/trefoillock-policy/src/retry_decision.rs
@@ -125,6 +125,7 @@
     matches!(
         reason,
         RefusalReason::Overloaded
+            | RefusalReason::RateLimited
             | RefusalReason::Unreachable
             | RefusalReason::Draining
             | RefusalReason::RefusedByServer
--- a/trefoillock-policy/src/server_load.rs
+++ b/trefoillock-policy/src/server_load.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use trefoillock_core::{DataCentre, Incarnation, Member, ServerId, Timestamp};
+use trefoillock_core::{CallRate, DataCentre, Incarnation, Member, ServerId, Timestamp};
 
 use crate::{CallResult, LoadHint};
 
@@ -14,6 +14,8 @@
 /// The weight of the hinted utilization in the cost. With `MAX_HINTED_UTILIZATION`, a hint at most
 /// doubles the cost.
 const HINT_WEIGHT: f64 = 0.5;
+/// The longest time for which a server counts as full because of its limit on the rate of calls.
+const MAX_FULL_TIME: Duration = Duration::from_secs(2);
 /// The weight of the newest call in the moving averages.
 const AVERAGE_WEIGHT: f64 = 0.1;
 /// The weight of the failure rate in the cost.
@@ -62,6 +64,10 @@
     /// The time at which the server joined or was last re-admitted.
     slow_start_from: Timestamp,
     hint: Option<(LoadHint, Timestamp)>,
+    /// The limit on the rate of calls in the last load hint.
+    limit: Option<CallRate>,
+    /// The time until which a further call would wait for its turn.
+    full_until: Timestamp,
     latency_us: Option<f64>,
     failure_rate: f64,
     refusal_rate: f64,
@@ -81,6 +87,8 @@
             slots: slots.max(1),
             slow_start_from: now,
             hint: None,
+            limit: None,
+            full_until: Timestamp::EPOCH,
             latency_us: None,
             failure_rate: 0.0,
             refusal_rate: 0.0,
@@ -104,6 +112,11 @@
         self.latency_us
     }
 
+    /// The time until which a call would wait for its turn because of the limit on the rate.
+    pub(crate) const fn full_until(&self) -> Timestamp {
+        self.full_until
+    }
+
     /// Whether the server receives calls other than probes.
     pub(crate) const fn is_healthy(&self) -> bool {
         matches!(self.health, Health::Healthy)
@@ -196,6 +209,9 @@
     /// it.
     pub(crate) fn record_start(&mut self, now: Timestamp) {
         self.in_flight += 1;
+        if let Some(interval) = self.limit.and_then(CallRate::interval) {
+            self.set_full(now, self.full_until.since(now) + interval);
+        }
         if let Health::Ejected(until) = self.health
             && now >= until
         {
@@ -212,16 +228,29 @@
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(hint) = hint {
-            self.hint = Some((hint, now));
+            self.record_hint(now, hint);
         }
         match result {
             CallResult::Answered(latency) => self.record_answer(now, latency),
             CallResult::Failed => self.record_failure(now),
             CallResult::Overloaded => self.record_refusal(now),
+            // Not a refusal rate: the server is as good as before once there is room again.
+            CallResult::RateLimited(wait) => self.set_full(now, wait),
             CallResult::Cancelled => {}
         }
     }
 
+    pub(crate) fn record_hint(&mut self, now: Timestamp, hint: LoadHint) {
+        self.hint = Some((hint, now));
+        self.limit = hint.limit.map(|limit| limit.rate);
+        let wait_us = hint.limit.map_or(0, |limit| limit.wait_us);
+        self.set_full(now, Duration::from_micros(wait_us.into()));
+    }
+
+    fn set_full(&mut self, now: Timestamp, wait: Duration) {
+        self.full_until = now + wait.min(MAX_FULL_TIME);
+    }
+
     fn record_answer(&mut self, now: Timestamp, latency: Duration) {
         self.decay_rates(now);
         self.failure_rate *= 1.0 - AVERAGE_WEIGHT;
--- a/trefoillock-policy/src/wait_queue.rs
+++ b/trefoillock-policy/src/wait_queue.rs
@@ -160,6 +160,29 @@
         lanes.map(|(_, calls)| calls.len()).sum()
     }
 
+    /// The number of calls that start before a new call of `kind` in a lane if the kinds of a lane
+    /// are served one after the other.
+    pub(crate) fn count_before_by_kind(
+        &self,
+        lane: Lane,
+        kind: Lane,
+        objective: Option<Timestamp>,
+    ) -> usize {
+        let calls = self.lanes.get(&lane).into_iter().flat_map(BTreeMap::values);
+        let earlier = calls.filter(|waiting| waiting.kind < kind).count();
+        self.count_before(lane) + earlier + self.count_before_in_kind(lane, kind, objective)
+    }
+
+    /// The call that starts last if the kinds of a lane are served one after the other.
+    pub(crate) fn last_by_kind(&self) -> Option<WaitingCall> {
+        let (_, calls) = self.lanes.last_key_value()?;
+        let latest_first = calls.values().rev();
+        // Of equal kinds the first one, which has the latest objective.
+        latest_first
+            .copied()
+            .reduce(|last, next| if next.kind > last.kind { next } else { last })
+    }
+
     /// The number of calls of `kind` in a lane that are served before a new call with the given
     /// objective.
     pub(crate) fn count_before_in_kind(
--- a/trefoillock-policy/tests/balancer.rs
+++ b/trefoillock-policy/tests/balancer.rs
@@ -215,6 +215,7 @@
             queued: calls.saturating_sub(SLOTS),
             slots: SLOTS,
             queue_delay_us: 0,
+            limit: None,
         }
     }
 }
--- a/trefoillock-policy/tests/objectives.rs
+++ b/trefoillock-policy/tests/objectives.rs
@@ -201,5 +201,5 @@
         let _ = admission.offer(now, Ticket::new(number), demand);
     }
     // One call is running and nine are waiting, each for 200 ms.
-    assert_eq!(admission.retry_after(), Duration::from_secs(2));
+    assert_eq!(admission.retry_after(now), Duration::from_secs(2));
 }
--- a/trefoillock-policy/tests/returns.rs
+++ b/trefoillock-policy/tests/returns.rs
@@ -119,7 +119,7 @@
             stats.longest_refusal = stats.longest_refusal.max(now.since(request.last_sent));
             if request.first_sent == request.last_sent {
                 let limit = request.deadline.since(now) / 3;
-                let retry_at = now + admission.retry_after().min(limit);
+                let retry_at = now + admission.retry_after(now).min(limit);
                 events.push(Reverse((retry_at, Event::Retry(request))));
             }
         }
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -141,7 +141,7 @@
     /// answers.
     CallAnswered = 1803, "call-answered", Info;
     /// The destination node refused a call, which did not run; fields: request, server, reason,
-    /// millis, rank, running, queued, slots, pause, omitted.
+    /// millis, rank, running, queued, slots, pause, limit if there is one, omitted.
     CallRefused = 1804, "call-refused", Warn;
     /// A call was sent to a local backend server and not answered in full; fields: request,
     /// server, reason, millis, omitted.
--- a/trefoillock-process/src/explanation.rs
+++ b/trefoillock-process/src/explanation.rs
@@ -51,6 +51,7 @@
     config: Option<String>,
     leader: Option<String>,
     server: Option<String>,
+    limit: Option<String>,
     rollout: Option<String>,
 }
 
@@ -78,6 +79,16 @@
                 ));
             }
             Some(Event::ServerLost) => self.server = with_time("lost".to_owned()),
+            Some(Event::ServerLimitChanged) => {
+                self.limit = with_time(format!(
+                    "{} states {} calls a second",
+                    line.text("address"),
+                    line.text("limit")
+                ));
+            }
+            Some(Event::ServerLeaving) => {
+                self.server = with_time(format!("{} says it leaves", line.text("address")));
+            }
             Some(Event::RolloutStepped) => {
                 self.rollout = with_time(format!(
                     "{} {} at {}",
@@ -91,12 +102,13 @@
     }
 
     /// The parts of the state with their names; `None` for a part that no line has reported.
-    fn parts(&self) -> [(&'static str, &Option<String>); 5] {
+    fn parts(&self) -> [(&'static str, &Option<String>); 6] {
         [
             ("started", &self.started),
             ("config", &self.config),
             ("leader", &self.leader),
             ("server", &self.server),
+            ("limit", &self.limit),
             ("rollout", &self.rollout),
         ]
     }
@@ -315,6 +327,14 @@
             ),
             None => "refused under overload".to_owned(),
         },
+        (_, "rate-limited") => match refused.map(|step| step.line) {
+            Some(line) => format!(
+                "refused because {} takes {} calls a second and no turn came in time",
+                line.text("server"),
+                line.text("limit")
+            ),
+            None => "refused because of a limit on the rate of calls".to_owned(),
+        },
         (_, "no-route") => format!("no route in configuration {}", line.text("config")),
         (_, reason) => match find_restart(node, line, lines) {
             Some(start) => format!(
