fix(control): keep a drained run out after a restart of its node

A node that restarts has forgotten that the server beside it has begun to leave; if the server announces itself as up again, for instance with a late heartbeat, the leader put it back on the member list. The leader now remembers drained runs, so only a later incarnation or another instance at the address is up.

--- a/trefoillock-control/src/node_table.rs
+++ b/trefoillock-control/src/node_table.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use trefoillock_core::{Guard, Map, Member, NodeId, ServerId, Timestamp};
+use trefoillock_core::{DrainedRuns, Guard, Map, Member, MemberState, NodeId, ServerId, Timestamp};
 
 use crate::{
     LostNode, NodeRecord,
@@ -30,6 +30,7 @@
 pub struct NodeTable {
     nodes: BTreeMap<NodeId, NodeEntry>,
     damper: FlapDamper,
+    drained: DrainedRuns,
 }
 
 impl NodeTable {
@@ -43,6 +44,9 @@
         let before = known.map(|known| known.record.announcements.as_slice());
         self.damper
             .record_announcements(now, &record, before.unwrap_or_default());
+        for member in members_of(&record).filter(|member| !member.is_up()) {
+            self.drained.insert(&member);
+        }
         let entry = NodeEntry {
             record,
             lease_end: None,
@@ -131,7 +135,11 @@
             if superseded_ids.contains(&entry.record.node) {
                 continue;
             }
-            for member in members_of(&entry.record) {
+            for mut member in members_of(&entry.record) {
+                // A node that has restarted may not know that the run has drained.
+                if self.drained.contains(&member) {
+                    member.announcement.state = MemberState::Draining;
+                }
                 if self.damper.allows(now, &member) {
                     servers.insert(member.id.clone(), Arc::new(member));
                 }
--- a/trefoillock-control/tests/membership.rs
+++ b/trefoillock-control/tests/membership.rs
@@ -9,7 +9,7 @@
     AttachLimiter, LostNode, NodeRecord, NodeTable,
     timing::{ORPHAN_LEASE, REATTACH_LEASE},
 };
-use trefoillock_core::{Incarnation, NodeId, Timestamp};
+use trefoillock_core::{Incarnation, MemberState, NodeId, Timestamp};
 
 const START: Timestamp = Timestamp::from_secs(1_000);
 
@@ -129,3 +129,28 @@
         assert_eq!(limiter.admit(*admit_at, node), Ok(()));
     }
 }
+
+#[test]
+fn a_run_that_has_drained_is_not_up_again_after_a_restart_of_its_node() {
+    let mut table = NodeTable::default();
+    let mut draining = record(1, 1, 1);
+    draining.announcements[0].state = MemberState::Draining;
+    table.insert_record(START, draining.clone());
+    let state_of = |table: &NodeTable| {
+        let servers = table.servers(START);
+        let member = servers.values().next().expect("a server");
+        member.announcement.state
+    };
+    assert_eq!(state_of(&table), MemberState::Draining);
+
+    let mut restarted = record(1, 2, 1);
+    restarted.announcements[0].incarnation = Incarnation::new(1);
+    table.insert_record(START, restarted.clone());
+    assert_eq!(state_of(&table), MemberState::Draining);
+
+    // A successor at the same address is not affected.
+    restarted.revision = 2;
+    restarted.announcements[0].incarnation = Incarnation::new(2);
+    table.insert_record(START, restarted);
+    assert_eq!(state_of(&table), MemberState::Up);
+}
