--- a/trefoillock-caller/src/attempt_tracker.rs
+++ b/trefoillock-caller/src/attempt_tracker.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 use trefoillock_backend::{Body, BodyError, CallFailure, Execution};
 use trefoillock_core::{Member, RefusalReason};
-use trefoillock_policy::{CallResult, LoadHint};
+use trefoillock_policy::{CallResult, Lane, LoadHint};
 use trefoillock_process::Clock;
 
 use crate::pool_state::PoolState;
@@ -24,16 +24,18 @@
     clock: Clock,
     pool: Arc<PoolState>,
     member: Arc<Member>,
+    lane: Lane,
     started: Instant,
     result: CallResult,
 }
 
 impl AttemptTracker {
-    pub(crate) fn new(clock: Clock, pool: Arc<PoolState>, member: Arc<Member>) -> Self {
+    pub(crate) fn new(clock: Clock, pool: Arc<PoolState>, member: Arc<Member>, lane: Lane) -> Self {
         Self {
             clock,
             pool,
             member,
+            lane,
             started: Instant::now(),
             result: CallResult::Cancelled,
         }
@@ -70,9 +72,10 @@
     /// Records a failure and ends the attempt.
     pub(crate) fn record_failure(mut self, failure: &CallFailure) {
         self.result = match (failure.reason(), failure.execution()) {
-            (RefusalReason::RateLimited, _) => {
-                CallResult::RateLimited(failure.retry_after().unwrap_or_default())
-            }
+            (RefusalReason::RateLimited, _) => CallResult::RateLimited {
+                lane: self.lane,
+                wait: failure.retry_after().unwrap_or_default(),
+            },
             (RefusalReason::Overloaded | RefusalReason::RefusedByServer, _)
             | (RefusalReason::Deadline, Execution::DidNotRun(_)) => CallResult::Overloaded,
             _ => CallResult::Failed,
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -9,7 +9,7 @@
 use trefoillock_backend::{Body, CallFailure, Crash, Execution};
 use trefoillock_core::{CrashReport, Member, RefusalReason, RouteClass, ServerId, Timestamp};
 use trefoillock_node::{CallLine, Delivery, NodeContext, ServerReport, random_u32};
-use trefoillock_policy::{Attempt, RetryDecision, SentState};
+use trefoillock_policy::{Attempt, Lane, RetryDecision, SentState};
 
 use crate::{
     attempt_tracker::{AttemptTracker, TrackedBody},
@@ -58,6 +58,10 @@
         req: &mut ReplayableRequest,
     ) -> Result<Response<Body>, CallFailure> {
         loop {
+            if let Some(wait) = self.refusal_wait() {
+                let limited = refusal(RefusalReason::RateLimited).with_retry_after(Some(wait));
+                return Err(combine(self.failure.take(), limited));
+            }
             let Some(tracker) = self.start_attempt() else {
                 let none = || refusal(RefusalReason::NoServer);
                 return Err(self.failure.take().unwrap_or_else(none));
@@ -94,6 +98,13 @@
         }
     }
 
+    /// The time until there is room if all backend servers that were not tried are known to refuse
+    /// the call because of their limits on the rate.
+    fn refusal_wait(&self) -> Option<Duration> {
+        let now = self.cx.clock().now();
+        self.pool.refusal_wait(now, lane(&self.call), &self.tried)
+    }
+
     /// Chooses a backend server that was not tried, and counts the start of an attempt.
     fn start_attempt(&mut self) -> Option<AttemptTracker> {
         let now = self.cx.clock().now();
@@ -103,11 +114,8 @@
         self.call.server_attempts.record(&member.id);
         self.tried.push(member.id.clone());
         self.attempts += 1;
-        Some(AttemptTracker::new(
-            *self.cx.clock(),
-            self.pool.clone(),
-            member,
-        ))
+        let (clock, lane) = (*self.cx.clock(), lane(&self.call));
+        Some(AttemptTracker::new(clock, self.pool.clone(), member, lane))
     }
 
     /// Sends the first attempt, and a second one if the first is not answered within the hedge
@@ -263,6 +271,11 @@
         || matches!(failure.reason(), RefusalReason::RefusedByServer)
 }
 
+/// The lane in which a call waits at a destination node.
+pub(crate) fn lane(call: &Call) -> Lane {
+    Lane::new(call.route.priority, call.route.class)
+}
+
 fn delivery(call: &Call, member: &Member) -> Delivery {
     let pool = &call.pool;
     let queue_timeout = Duration::from_millis(u64::from(pool.policy.queue_ms));
--- a/trefoillock-caller/src/pool_state.rs
+++ b/trefoillock-caller/src/pool_state.rs
@@ -1,10 +1,13 @@
 //! The state that an entry node keeps for each pool.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use trefoillock_core::{DataCentre, Member, Pool, RouteClass, ServerId, Timestamp};
 use trefoillock_policy::{
-    Attempt, Balancer, CallResult, LoadHint, RetryBudget, RetryDecision, retry_decision,
+    Attempt, Balancer, CallResult, Lane, LoadHint, RetryBudget, RetryDecision, retry_decision,
 };
 
 #[derive(Debug)]
@@ -41,6 +44,17 @@
         }
     }
 
+    /// The time until there is room if no backend server that is not in `exclude` would take a call
+    /// of this lane now, because of their limits on the rate.
+    pub(crate) fn refusal_wait(
+        &self,
+        now: Timestamp,
+        lane: Lane,
+        exclude: &[ServerId],
+    ) -> Option<Duration> {
+        self.lock().balancer.refusal_wait(now, lane, exclude)
+    }
+
     /// Chooses a backend server that is not in `exclude`, and counts the start of an attempt.
     /// `None` if there is none.
     pub(crate) fn start_attempt(
--- a/trefoillock-caller/src/resume.rs
+++ b/trefoillock-caller/src/resume.rs
@@ -13,7 +13,10 @@
 use trefoillock_node::{NodeContext, random_u32};
 
 use crate::{
-    attempt_tracker::AttemptTracker, call::Call, dispatch::send_attempt, pool_state::PoolState,
+    attempt_tracker::AttemptTracker,
+    call::Call,
+    dispatch::{lane, send_attempt},
+    pool_state::PoolState,
     replayable_request::ReplayableRequest,
 };
 
@@ -152,7 +155,8 @@
                 continue;
             };
             tried.push(member.id.clone());
-            let tracker = AttemptTracker::new(*self.cx.clock(), self.pool.clone(), member);
+            let (clock, lane) = (*self.cx.clock(), lane(&self.call));
+            let tracker = AttemptTracker::new(clock, self.pool.clone(), member, lane);
             let answer = send_attempt(&self.cx, &self.call, tracker, self.request()).await;
             if let Ok(resp) = answer
                 && self.is_remaining_range(&resp)
--- a/trefoillock-policy/src/balancer.rs
+++ b/trefoillock-policy/src/balancer.rs
@@ -4,7 +4,7 @@
 
 use trefoillock_core::{DataCentre, Member, PoolPolicy, RouteClass, ServerId, Timestamp};
 
-use crate::{CallResult, LoadHint, server_load::ServerLoad};
+use crate::{CallResult, Lane, LoadHint, server_load::ServerLoad};
 
 /// The utilization of the selected local server from which servers of other data centres are
 /// considered.
@@ -149,6 +149,25 @@
         best.map(|server| server.id.clone())
     }
 
+    /// The time until there is room if all servers that are not in `exclude` would refuse a call of
+    /// this lane now because of their limits on the rate, as far as this node knows.
+    ///
+    /// A call that is not sent then costs its caller no time, and the destination nodes nothing.
+    #[must_use]
+    pub fn refusal_wait(
+        &self,
+        now: Timestamp,
+        lane: Lane,
+        exclude: &[ServerId],
+    ) -> Option<Duration> {
+        let mut shortest: Option<Duration> = None;
+        for server in self.servers.iter().filter(|s| !exclude.contains(&s.id)) {
+            let wait = server.refusal_wait(now, lane)?;
+            shortest = Some(shortest.map_or(wait, |shortest| shortest.min(wait)));
+        }
+        shortest
+    }
+
     /// Counts the start of a call to a server.
     pub fn record_start(&mut self, now: Timestamp, id: &ServerId) {
         if let Some(server) = self.server_mut(id) {
--- a/trefoillock-policy/src/load_hint.rs
+++ b/trefoillock-policy/src/load_hint.rs
@@ -4,6 +4,8 @@
 
 use trefoillock_core::{CallRate, data};
 
+use crate::Lane;
+
 /// The load of a backend server as reported by the node on its VM, sent with every answer.
 ///
 /// The hint may be outdated or wrong, so the balancer limits its effect.
@@ -48,9 +50,13 @@
     Failed,
     /// The destination node refused the call for lack of capacity.
     Overloaded,
-    /// The destination node refused the call because of the limit on the rate of calls. The
-    /// duration is the time until there is room for a call.
-    RateLimited(Duration),
+    /// The destination node refused the call because of the limit on the rate of calls.
+    RateLimited {
+        /// The lane of the call.
+        lane: Lane,
+        /// The time until there is room for a call.
+        wait: Duration,
+    },
     /// The caller cancelled the call, or another copy of a hedged call was answered first. The
     /// result says nothing about the server.
     Cancelled,
--- a/trefoillock-policy/src/server_load.rs
+++ b/trefoillock-policy/src/server_load.rs
@@ -5,7 +5,7 @@
 
 use trefoillock_core::{CallRate, DataCentre, Incarnation, Member, ServerId, Timestamp};
 
-use crate::{CallResult, LoadHint};
+use crate::{CallResult, Lane, LoadHint};
 
 /// The age at which a load hint no longer has any effect.
 const HINT_LIFETIME: Duration = Duration::from_secs(2);
@@ -16,6 +16,9 @@
 const HINT_WEIGHT: f64 = 0.5;
 /// The longest time for which a server counts as full because of its limit on the rate of calls.
 const MAX_FULL_TIME: Duration = Duration::from_secs(2);
+/// The share of the time until there is room, after a refusal because of the rate, for which calls
+/// that are no more urgent than the refused one would be refused as well.
+const REFUSING_SHARE: f64 = 0.5;
 /// The weight of the newest call in the moving averages.
 const AVERAGE_WEIGHT: f64 = 0.1;
 /// The weight of the failure rate in the cost.
@@ -53,6 +56,15 @@
     Probing(u32),
 }
 
+/// What a refusal because of the limit on the rate of calls tells about the next calls.
+#[derive(Debug, Clone, Copy)]
+struct Refusing {
+    /// The lane of the refused call.
+    lane: Lane,
+    /// The time until which calls of this lane and of later ones would be refused.
+    until: Timestamp,
+}
+
 /// The state that an entry node keeps for one backend server.
 #[derive(Debug)]
 pub(crate) struct ServerLoad {
@@ -68,6 +80,7 @@
     limit: Option<CallRate>,
     /// The time until which a further call would wait for its turn.
     full_until: Timestamp,
+    refusing: Option<Refusing>,
     latency_us: Option<f64>,
     failure_rate: f64,
     refusal_rate: f64,
@@ -89,6 +102,7 @@
             hint: None,
             limit: None,
             full_until: Timestamp::EPOCH,
+            refusing: None,
             latency_us: None,
             failure_rate: 0.0,
             refusal_rate: 0.0,
@@ -117,6 +131,14 @@
         self.full_until
     }
 
+    /// The time until there is room if a call of this lane would be refused now because of the
+    /// limit on the rate, as far as this node knows.
+    pub(crate) fn refusal_wait(&self, now: Timestamp, lane: Lane) -> Option<Duration> {
+        let refusing = self.refusing?;
+        let is_refused = now < refusing.until && lane >= refusing.lane;
+        is_refused.then(|| self.full_until.since(now))
+    }
+
     /// Whether the server receives calls other than probes.
     pub(crate) const fn is_healthy(&self) -> bool {
         matches!(self.health, Health::Healthy)
@@ -235,7 +257,11 @@
             CallResult::Failed => self.record_failure(now),
             CallResult::Overloaded => self.record_refusal(now),
             // Not a refusal rate: the server is as good as before once there is room again.
-            CallResult::RateLimited(wait) => self.set_full(now, wait),
+            CallResult::RateLimited { lane, wait } => {
+                self.set_full(now, wait);
+                let until = now + wait.min(MAX_FULL_TIME).mul_f64(REFUSING_SHARE);
+                self.refusing = Some(Refusing { lane, until });
+            }
             CallResult::Cancelled => {}
         }
     }
--- a/trefoillock-policy/tests/rate_limits.rs
+++ b/trefoillock-policy/tests/rate_limits.rs
@@ -8,17 +8,18 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use trefoillock_core::{
-    Announcement, CallRate, DataCentre, Incarnation, Member, MemberState, NodeId, PoolPolicy,
-    RefusalReason, RouteClass, ServerId, ServiceName, Timestamp, VersionLabel,
+    Announcement, CallRate, DEFAULT_PRIORITY, DataCentre, Incarnation, Member, MemberState, NodeId,
+    PoolPolicy, RefusalReason, RouteClass, ServerId, ServiceName, Timestamp, VersionLabel,
 };
 use trefoillock_policy::{
-    Admission, Balancer, CallResult, Demand, LimitHint, LoadHint, Offer, Ticket,
+    Admission, Balancer, CallResult, Demand, Lane, LimitHint, LoadHint, Offer, Ticket,
 };
 
 const START: Timestamp = Timestamp::from_secs(1_000);
 const SLOTS: u32 = 64;
 const QUEUE_TIME: Duration = Duration::from_millis(300);
 const PATIENCE: Duration = Duration::from_secs(1);
+const LOOKUP: Lane = Lane::new(DEFAULT_PRIORITY, RouteClass::Lookup);
 const WINDOW: Duration = Duration::from_secs(4);
 
 fn rate(per_s: f64) -> CallRate {
@@ -332,6 +333,38 @@
     picked.count().try_into().expect("a small count")
 }
 
+fn rate_limited(millis: u64) -> CallResult {
+    CallResult::RateLimited {
+        lane: LOOKUP,
+        wait: Duration::from_millis(millis),
+    }
+}
+
+#[test]
+fn an_entry_knows_that_no_server_takes_a_call_until_there_is_room() {
+    let servers = [member(1), member(2)];
+    let data_centre = DataCentre::try_from("a").expect("a name");
+    let mut balancer = Balancer::new(PoolPolicy::default(), data_centre);
+    balancer.sync(START, &servers);
+    let mut refuse = |server: &Member, millis| {
+        balancer.record_start(START, &server.id);
+        balancer.record_end(START, &server.id, rate_limited(millis), None);
+        balancer.refusal_wait(START, LOOKUP, &[])
+    };
+    assert_eq!(refuse(&servers[0], 200), None, "the other one may take it");
+    assert_eq!(refuse(&servers[1], 300), Some(Duration::from_millis(200)));
+    let wait = |now, lane| balancer.refusal_wait(now, lane, &[]);
+    let posting = Lane::new(DEFAULT_PRIORITY, RouteClass::Posting);
+    assert_eq!(
+        wait(START, posting),
+        None,
+        "a posting may take the turn of a lookup"
+    );
+    let background = Lane::new(DEFAULT_PRIORITY, RouteClass::Background);
+    assert!(wait(START, background).is_some());
+    assert_eq!(wait(START + Duration::from_millis(100), LOOKUP), None);
+}
+
 #[test]
 fn the_balancer_leaves_out_a_server_without_room_and_returns_to_it() {
     let servers = [member(1), member(2)];
@@ -364,7 +397,7 @@
     // A refusal because of the rate says nothing about the time after it.
     for _ in 0..20 {
         balancer.record_start(later, limited);
-        let wait = CallResult::RateLimited(Duration::from_millis(50));
+        let wait = rate_limited(50);
         balancer.record_end(later, limited, wait, None);
     }
     assert_eq!(picks_of_first(&balancer, later, limited, 100), 0);
@@ -373,10 +406,10 @@
 
     // If no server has room, the one that has some first is asked.
     balancer.record_start(next, &servers[1].id);
-    let wait = CallResult::RateLimited(Duration::from_millis(500));
+    let wait = rate_limited(500);
     balancer.record_end(next, &servers[1].id, wait, None);
     balancer.record_start(next, limited);
-    let wait = CallResult::RateLimited(Duration::from_millis(100));
+    let wait = rate_limited(100);
     balancer.record_end(next, limited, wait, None);
     assert_eq!(picks_of_first(&balancer, next, limited, 100), 100);
 }
--- a/trefoillock-stand-ins/src/lib.rs
+++ b/trefoillock-stand-ins/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`mesh_node`]: a node with its own runtime, and functions that publish a configuration and a
 //!   list of members to nodes.
 //! - [`demo`]: complete daemons in one process; injects faults and checks each promise.
+//! - [`limit_simulation`]: simulates backend servers that state limits on their rate of calls.
 //! - [`move_simulation`]: simulates moves in virtual time with random call outcomes.
 //! - [`fleet`]: simulates control replicas and nodes on an in-memory network in virtual time.
 
@@ -19,6 +20,7 @@
 pub mod caller;
 pub mod demo;
 pub mod fleet;
+pub mod limit_simulation;
 pub mod mesh_node;
 pub mod move_simulation;
 pub mod naive_proxy;
