fix(node): let a stopping server send what waits for its peer

Cause: the body ends when hyper has taken it, not when the peer has it. The rest waits in the socket (HTTP/1.1) or for the peer's window (HTTP/2). A connection is now idle only if no write is pending and no shutdown waits for the peer; and an HTTP/2 peer that has sent anything since the GOAWAY is there, so the connection ends by itself once everything is sent. A peer that is silent still delays a stop by 0.5 s only; the limit of the stop bounds both.

Tests of stand-ins, platform, trefoillockd and rpc pass.

--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -26,7 +26,10 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use trefoillock_backend::Body;
 
-use crate::{in_flight::InFlightRequest, lingering_stream::LingeringStream};
+use crate::{
+    in_flight::InFlightRequest,
+    lingering_stream::{LingeringStream, StreamActivity},
+};
 
 /// The time for which an idle HTTP/1.1 connection is kept after a stop, so that a request that was
 /// already sent is still answered.
@@ -63,8 +66,7 @@
     }
 }
 
-/// The number of checks in a row without requests in flight after which a connection that is being
-/// closed counts as idle.
+/// The number of checks in a row after which a connection that is being closed counts as idle.
 const IDLE_CHECKS: u32 = 5;
 
 // The HTTP version of a connection, known after its first request.
@@ -151,7 +153,9 @@
         })
     };
     let builder = builder(limits);
-    let conn = builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
+    let activity = Arc::new(StreamActivity::default());
+    let stream = LingeringStream::new(stream, activity.clone());
+    let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     tokio::select! {
         _ = conn.as_mut() => return,
@@ -164,21 +168,28 @@
             () = sleep(STOP_GRACE_PERIOD) => {}
         }
     }
+    let bytes_read = activity.bytes_read();
     conn.as_mut().graceful_shutdown();
+    let is_idle = || {
+        // A peer of an HTTP/2 connection that answers is there, and the connection ends by itself
+        // when it has sent everything, however long the peer withholds the window for it.
+        let answers =
+            version.load(Ordering::Relaxed) == HTTP_2 && activity.bytes_read() > bytes_read;
+        in_flight.load(Ordering::Acquire) == 0 && !activity.is_sending() && !answers
+    };
     tokio::select! {
         _ = conn => {}
-        () = wait_until_idle(&in_flight) => {}
+        () = wait_until_idle(is_idle) => {}
     }
 }
 
-/// Waits until no request has been in flight for [`STOP_GRACE_PERIOD`]. A peer that vanished
-/// without closing its connection would otherwise delay the stop.
-async fn wait_until_idle(in_flight: &AtomicUsize) {
+/// Waits until a connection has been idle for [`STOP_GRACE_PERIOD`]. A peer that vanished without
+/// closing its connection would otherwise delay the stop.
+async fn wait_until_idle(is_idle: impl Fn() -> bool) {
     let mut idle_checks = 0;
     while idle_checks < IDLE_CHECKS {
         sleep(STOP_GRACE_PERIOD / IDLE_CHECKS).await;
-        let is_idle = in_flight.load(Ordering::Acquire) == 0;
-        idle_checks = if is_idle { idle_checks + 1 } else { 0 };
+        idle_checks = if is_idle() { idle_checks + 1 } else { 0 };
     }
 }
 
--- a/trefoillock-node/src/lingering_stream.rs
+++ b/trefoillock-node/src/lingering_stream.rs
@@ -3,6 +3,10 @@
 use std::{
     io,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -18,6 +22,25 @@
 /// The size of the buffer for discarded bytes.
 const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
 
+/// What a connection has received, and whether it is sending.
+#[derive(Debug, Default)]
+pub(crate) struct StreamActivity {
+    is_sending: AtomicBool,
+    bytes_read: AtomicU64,
+}
+
+impl StreamActivity {
+    /// Whether bytes wait to be sent, or the stream waits for the peer after a shutdown.
+    pub(crate) fn is_sending(&self) -> bool {
+        self.is_sending.load(Ordering::Acquire)
+    }
+
+    /// The number of bytes that have been read.
+    pub(crate) fn bytes_read(&self) -> u64 {
+        self.bytes_read.load(Ordering::Acquire)
+    }
+}
+
 /// A TCP stream that, after a shutdown, reads and discards what still arrives until the peer closes
 /// its side.
 ///
@@ -26,16 +49,25 @@
 pub(crate) struct LingeringStream {
     stream: TcpStream,
     linger: Option<Pin<Box<Sleep>>>,
+    activity: Arc<StreamActivity>,
 }
 
 impl LingeringStream {
-    pub(crate) const fn new(stream: TcpStream) -> Self {
+    /// Wraps a stream, and records what it does in `activity`.
+    pub(crate) const fn new(stream: TcpStream, activity: Arc<StreamActivity>) -> Self {
         Self {
             stream,
             linger: None,
+            activity,
         }
     }
 
+    fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let is_sending = &self.activity.is_sending;
+        is_sending.store(written.is_pending(), Ordering::Release);
+        written
+    }
+
     /// Reads and discards bytes until the peer closes its side.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
@@ -56,7 +88,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = buf.filled().len().saturating_sub(before);
+        let bytes_read = &self.activity.bytes_read;
+        bytes_read.fetch_add(read as u64, Ordering::AcqRel);
+        polled
     }
 }
 
@@ -66,7 +103,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(written)
     }
 
     fn poll_write_vectored(
@@ -74,7 +112,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -86,6 +125,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.activity.is_sending.store(true, Ordering::Release);
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
         }
