fix(backend): do not pass a copy of an earlier answer on to the next call

A backend server that sends a second copy of an answer late, on a connection that is in use again, gave it to the next caller as the answer of its own call (answered, 200): with the project's own interface nothing told which call an answer belongs to.

Each call now carries trefoillock-call, and an answer that names another call is spoiled and closes its connection.

--- a/trefoillock-backend/src/dialect.rs
+++ b/trefoillock-backend/src/dialect.rs
@@ -1,6 +1,10 @@
 //! The headers that a node and a backend server exchange with each call.
 
-use std::{fmt::Debug, time::Duration};
+use std::{
+    fmt::Debug,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, response::Parts};
 use trefoillock_core::{Announcement, headers};
@@ -39,8 +43,13 @@
     fn read_statement(&self, head: &Parts) -> Option<ServerStatement>;
 }
 
+/// The identity of the next call to a backend server; unique within this process, to which the
+/// connections belong.
+static NEXT_CALL: AtomicU64 = AtomicU64::new(1);
+
 /// The headers of this project's own interface: `trefoillock-outcome: did-not-run` with status 503
-/// marks a rejected call; `trefoillock-limit` and `trefoillock-leaving` are statements of the
+/// marks a rejected call; `trefoillock-call` identifies the call that a response belongs to, if the
+/// backend server repeats it; `trefoillock-limit` and `trefoillock-leaving` are statements of the
 /// backend server about itself.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct DefaultDialect;
@@ -48,14 +57,20 @@
 impl Dialect for DefaultDialect {
     fn write_request_headers(
         &self,
-        _: &mut HeaderMap,
+        map: &mut HeaderMap,
         _: &Announcement,
         _: Duration,
     ) -> Option<HeaderValue> {
-        None
+        let call = HeaderValue::from(NEXT_CALL.fetch_add(1, Ordering::Relaxed));
+        map.insert(headers::CALL, call.clone());
+        Some(call)
     }
 
-    fn classify_response(&self, _: Option<&HeaderValue>, head: &Parts) -> ResponseKind {
+    fn classify_response(&self, expected: Option<&HeaderValue>, head: &Parts) -> ResponseKind {
+        let call = head.headers.get(headers::CALL);
+        if call.is_some() && call != expected {
+            return ResponseKind::Mismatched;
+        }
         let outcome = head.headers.get(headers::OUTCOME);
         let refused = outcome.is_some_and(|value| value.as_bytes() == b"did-not-run");
         if head.status == StatusCode::SERVICE_UNAVAILABLE && refused {
--- a/trefoillock-core/src/outcome.rs
+++ b/trefoillock-core/src/outcome.rs
@@ -20,6 +20,9 @@
     pub const POOL: &str = "trefoillock-pool";
     /// The shared secret on calls between nodes.
     pub const TOKEN: &str = "trefoillock-token";
+    /// To a backend server: identifies the call on its connection. A response that names another
+    /// call does not belong to it.
+    pub const CALL: &str = "trefoillock-call";
     /// From a backend server: the calls per second that it takes from all nodes together, a decimal
     /// number.
     pub const LIMIT: &str = "trefoillock-limit";
--- a/trefoillock-node/src/headers.rs
+++ b/trefoillock-node/src/headers.rs
@@ -45,13 +45,14 @@
 
 /// Headers that are removed from messages of callers and backend servers, because only nodes may
 /// set them.
-const INTERNAL: [&str; 20] = [
+const INTERNAL: [&str; 21] = [
     headers::OUTCOME,
     headers::REASON,
     headers::DEADLINE_MS,
     headers::ROUTE,
     headers::POOL,
     headers::TOKEN,
+    headers::CALL,
     headers::LIMIT,
     headers::LEAVING,
     SERVER,
