test(stand-ins): state limits and leaving over real sockets, several servers at once

The stand-in backend server states a limit or that it leaves in all its answers, refusals and errors included.

--- a/trefoillock-stand-ins/src/backend_server/connection.rs
+++ b/trefoillock-stand-ins/src/backend_server/connection.rs
@@ -12,6 +12,7 @@
     time::sleep,
 };
 use tokio_util::sync::CancellationToken;
+use trefoillock_core::headers;
 
 use super::{
     content::{ANSWER_FOR, REQUEST_ID, content_byte, content_seed},
@@ -121,12 +122,12 @@
         let state = self.state.clone();
         let _slot = state.acquire_slot().await;
         if matches!(next, NextAction::Refuse) {
-            return self.refuse().await;
+            return self.refuse(head).await;
         }
         self.run(head).await?;
         let next = self.apply_fault(FaultStep::RequestSent).await?;
         if matches!(next, NextAction::ServerError) || self.state.fails_by_count() {
-            return self.server_error().await;
+            return self.server_error(head).await;
         }
         self.write_answer(head).await?;
         self.apply_fault(FaultStep::End).await?;
@@ -147,15 +148,27 @@
     }
 
     /// Answers that the call did not run.
-    async fn refuse(&mut self) -> io::Result<()> {
-        let head = "HTTP/1.1 503 Service Unavailable\r\ntrefoillock-outcome: did-not-run\r\n\
-            content-length: 0\r\n\r\n";
-        self.tx.write_all(head.as_bytes()).await
+    async fn refuse(&mut self, head: &Head) -> io::Result<()> {
+        let lines = self.common_lines(head);
+        let text = format!(
+            "HTTP/1.1 503 Service Unavailable\r\ntrefoillock-outcome: did-not-run\r\n{lines}\
+             content-length: 0\r\n\r\n"
+        );
+        self.tx.write_all(text.as_bytes()).await
+    }
+
+    async fn server_error(&mut self, head: &Head) -> io::Result<()> {
+        let lines = self.common_lines(head);
+        let text =
+            format!("HTTP/1.1 500 Internal Server Error\r\n{lines}content-length: 0\r\n\r\n");
+        self.tx.write_all(text.as_bytes()).await
     }
 
-    async fn server_error(&mut self) -> io::Result<()> {
-        let head = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
-        self.tx.write_all(head.as_bytes()).await
+    /// The header lines of all answers: the identity of the call, and what the server states.
+    fn common_lines(&self, head: &Head) -> String {
+        let call = head.header(headers::CALL);
+        let call = call.map(|call| format!("{}: {call}\r\n", headers::CALL));
+        call.unwrap_or_default() + &self.state.statement_lines()
     }
 
     async fn write_answer(&mut self, head: &Head) -> io::Result<()> {
@@ -171,6 +184,7 @@
         let mut text = format!(
             "HTTP/1.1 {status}\r\n{ANSWER_FOR}: {id}\r\netag: {etag}\r\naccept-ranges: bytes\r\n"
         );
+        text += &self.common_lines(head);
         if is_partial {
             let last = range.end.saturating_sub(1);
             let _ = write!(
--- a/trefoillock-stand-ins/src/backend_server/server.rs
+++ b/trefoillock-stand-ins/src/backend_server/server.rs
@@ -4,16 +4,16 @@
     io,
     net::{Ipv4Addr, SocketAddr},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{net::TcpListener, sync::Semaphore};
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::{
-    Announcement, Incarnation, MemberState, NameError, ServiceName, VersionLabel,
+    Announcement, Incarnation, MemberState, NameError, ServiceName, VersionLabel, headers,
 };
 
 use super::{
@@ -116,6 +116,9 @@
     max_open: AtomicU64,
     calls: AtomicU64,
     draining: AtomicBool,
+    stated_limit: Mutex<Option<String>>,
+    says_leaving: AtomicBool,
+    starts: Mutex<Vec<Instant>>,
     stop: Mutex<CancellationToken>,
 }
 
@@ -132,6 +135,16 @@
     /// Counts a call whose head was read.
     pub(crate) fn count_received(&self) {
         self.received.fetch_add(1, Ordering::Relaxed);
+        lock(&self.starts).push(Instant::now());
+    }
+
+    /// The header lines in which the server states its limit and that it leaves.
+    pub(crate) fn statement_lines(&self) -> String {
+        let limit = lock(&self.stated_limit).clone();
+        let limit = limit.map(|limit| format!("{}: {limit}\r\n", headers::LIMIT));
+        let leaving = self.says_leaving.load(Ordering::Relaxed);
+        let leaving = leaving.then(|| format!("{}: 1\r\n", headers::LEAVING));
+        limit.unwrap_or_default() + &leaving.unwrap_or_default()
     }
 
     /// Counts an open connection until the returned guard is dropped.
@@ -155,6 +168,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Guard of an open connection; dropping it decrements the count of open connections.
 pub(crate) struct OpenConnection(Arc<State>);
 
@@ -193,6 +210,9 @@
             max_open: AtomicU64::new(0),
             calls: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            stated_limit: Mutex::new(None),
+            says_leaving: AtomicBool::new(false),
+            starts: Mutex::default(),
             stop: Mutex::new(CancellationToken::new()),
         });
         let server = Self { address, state };
@@ -243,6 +263,24 @@
         self.state.received.load(Ordering::Relaxed)
     }
 
+    /// The times at which the calls whose request head was read arrived.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.state.starts).clone()
+    }
+
+    /// Sets the limit that the server states in its answers, in calls per second; the text is sent
+    /// as it is. `None` states no limit.
+    pub fn state_limit(&self, limit: Option<&str>) {
+        *lock(&self.state.stated_limit) = limit.map(str::to_owned);
+    }
+
+    /// Sets whether the server says in its answers that it leaves. Its announcement still says that
+    /// it is up.
+    pub fn state_leaving(&self, is_leaving: bool) {
+        self.state.says_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
     /// The largest number of connections that were open at the same time.
     #[must_use]
     pub fn max_connections(&self) -> u64 {
@@ -279,6 +317,8 @@
         let listener = self.rebind().await?;
         self.state.incarnation.fetch_add(1, Ordering::Relaxed);
         self.state.draining.store(false, Ordering::Relaxed);
+        self.state_limit(None);
+        self.state_leaving(false);
         let fresh = CancellationToken::new();
         *self
             .state
