fix(node): do not reset connections that peers have opened when a listener is closed

Looked for after the report of other operators: requests that had just been accepted were cut off without an answer during a planned stop under load.

Cause: the close of the listening socket resets what waits to be accepted. The asynchronous accept before it (now_or_never) does not ask the kernel if its last answer was that nothing waits, so it missed what had come since. Now the socket first drops packets that begin a connection, accepts for 100 ms more, then everything that waits, and is closed; callers that were held off are refused when they try again. Without the packet filter only the handshakes of the last moment can be lost.

--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -10,7 +10,6 @@
     time::Duration,
 };
 
-use futures::FutureExt;
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
@@ -29,6 +28,7 @@
 use crate::{
     in_flight::InFlightRequest,
     lingering_stream::{LingeringStream, StreamActivity},
+    listener_close::{HANDSHAKE_TIME, close_listener, hold_off_connections},
 };
 
 /// The time for which an idle HTTP/1.1 connection is kept after a stop, so that a request that was
@@ -100,17 +100,23 @@
             drop(permit);
         });
     };
-    while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
-        match accepted {
-            Ok((stream, _)) => start(stream),
-            Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
+    let accept = async || match listener.accept().await {
+        Ok((stream, _)) => start(stream),
+        Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
+    };
+    while stop.run_until_cancelled(accept()).await.is_some() {}
+    hold_off_connections(&listener);
+    let handshakes = sleep(HANDSHAKE_TIME);
+    let mut handshakes = std::pin::pin!(handshakes);
+    loop {
+        tokio::select! {
+            () = accept() => {}
+            () = &mut handshakes => break,
         }
     }
-    // Connections that the kernel has already accepted are served.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+    for stream in close_listener(listener) {
         start(stream);
     }
-    drop(listener);
     tasks.close();
     tasks.wait().await;
 }
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod http_server;
 mod in_flight;
 mod lingering_stream;
+mod listener_close;
 mod peer_clients;
 mod random;
 mod recorder;
