fix(backend): keep what a run has stated when it announces other slots

A run that announced another number of slots or connections was taken for a new one and forgot its limit and that it leaves. The run is now told by service, incarnation and instance; other slots begin a new count of calls, as before, but inherit the statements.

--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -122,11 +122,21 @@
         self.slots.load_hint()
     }
 
-    /// Whether an announcement is of this run: nothing but its state differs.
+    /// Whether an announcement is of this run, whatever else it says.
     pub(crate) fn is_same_run(&self, next: &Announcement) -> bool {
+        let held = &self.announcement;
+        held.address == next.address
+            && held.service == next.service
+            && held.incarnation == next.incarnation
+            && held.instance == next.instance
+    }
+
+    /// Whether this value can go on with an announcement: nothing but its state differs, and the
+    /// process has not crashed.
+    pub(crate) fn continues_with(&self, next: &Announcement) -> bool {
         let mut held = self.announcement.clone();
         held.state = next.state;
-        held == *next
+        held == *next && !self.is_crashed()
     }
 
     /// Takes over what the same run has stated to another value.
--- a/trefoillock-backend/src/local_servers.rs
+++ b/trefoillock-backend/src/local_servers.rs
@@ -114,7 +114,7 @@
             let mut known = held.into_iter().chain(former.iter());
             let known = known.find(|known| known.is_same_run(announcement));
             let server = match known {
-                Some(known) if !known.is_crashed() => {
+                Some(known) if known.continues_with(announcement) => {
                     known.set_state(announcement.state);
                     known.clone()
                 }
--- a/trefoillock-backend/tests/statements.rs
+++ b/trefoillock-backend/tests/statements.rs
@@ -176,6 +176,13 @@
     assert_eq!(again.rate_limit(), Some(CallRate::ZERO));
     assert!(again.check_available().is_ok());
 
+    // Other slots begin a new count, but the run has stated the same.
+    let mut larger = announcement(address, 1);
+    larger.slots = 2;
+    servers.update(&[larger]);
+    let larger = servers.get(address).expect("a server");
+    assert_eq!(larger.rate_limit(), Some(CallRate::ZERO));
+
     servers.update(&[announcement(address, 2)]);
     let successor = servers.get(address).expect("a server");
     assert_eq!(successor.rate_limit(), None);
