--- a/trefoillock-process/src/explanation.rs
+++ b/trefoillock-process/src/explanation.rs
@@ -8,10 +8,12 @@
     collections::BTreeMap,
     fmt,
     io::{self, BufRead},
+    time::Duration,
 };
 
 use serde::Serialize;
 use serde_json::{Map, Value};
+use trefoillock_core::Timestamp;
 
 use crate::Event;
 
@@ -19,6 +21,9 @@
 /// or does not need them.
 const NON_DETAIL_FIELDS: [&str; 5] = ["time", "level", "event", "name", "request"];
 
+/// The time within which the last step of a rollout reaches all nodes after the leader has logged it.
+const ROLLBACK_DELAY: Duration = Duration::from_secs(5);
+
 /// The JSON object of one log line, with the name of the process that wrote it.
 #[derive(Debug)]
 struct LogLine {
@@ -35,6 +40,11 @@
             .unwrap_or_default()
     }
 
+    /// The time of the line; `None` if it cannot be read.
+    fn time(&self) -> Option<Timestamp> {
+        Timestamp::parse_rfc3339(self.text("time"))
+    }
+
     fn event(&self) -> Option<Event> {
         let number = self.fields.get("event")?.as_u64()?;
         Event::ALL
@@ -351,16 +361,20 @@
     matches!(line.event(), Some(Event::CallFailed | Event::CallAnswered))
 }
 
-/// Returns the first line, not earlier than the line `after`, that reports the rollback of a
-/// rollout of `version`.
+/// Returns the first line that reports the rollback of a rollout of `version` and is not earlier than
+/// the line `after` by more than the time that a rollback takes to reach all nodes.
 fn find_rollback<'a>(version: &str, after: &LogLine, lines: &'a [LogLine]) -> Option<&'a LogLine> {
+    let reaches = |rollback: &LogLine| match (rollback.time(), after.time()) {
+        (Some(rollback), Some(after)) => rollback + ROLLBACK_DELAY >= after,
+        _ => rollback.text("time") >= after.text("time"),
+    };
     let orders = lines.iter().filter(|line| {
         line.event() == Some(Event::RolloutOrdered) && line.text("version") == version
     });
     let services: Vec<&str> = orders.map(|line| line.text("service")).collect();
     lines.iter().find(|line| {
         line.event() == Some(Event::RolloutStepped)
-            && line.text("time") >= after.text("time")
+            && reaches(line)
             && services.contains(&line.text("service"))
             && line.text("state").contains("rolledback")
     })
--- a/trefoillock-process/src/queued_writer/tests.rs
+++ b/trefoillock-process/src/queued_writer/tests.rs
@@ -10,14 +10,17 @@
 
 const LIMIT: Duration = Duration::from_secs(10);
 
-/// Keeps the written text. Each write blocks until the sender of `resume` sends or is dropped.
+/// Keeps the written text. Each write reports that it has begun, and blocks until the sender of
+/// `resume` sends or is dropped.
 struct StalledOutput {
+    begun: mpsc::Sender<()>,
     resume: mpsc::Receiver<()>,
     text: Arc<Mutex<String>>,
 }
 
 impl Write for StalledOutput {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let _ = self.begun.send(());
         // After the sender is dropped, `recv` fails at once and writes no longer block.
         let _ = self.resume.recv();
         let text = String::from_utf8_lossy(buf);
@@ -49,9 +52,11 @@
 
 #[test]
 fn stalled_reader_does_not_block_logging_and_dropped_lines_are_reported() {
+    let (begun_sender, begun) = mpsc::channel();
     let (resume_sender, resume) = mpsc::channel();
     let text = Arc::new(Mutex::new(String::new()));
     let stalled_output = StalledOutput {
+        begun: begun_sender,
         resume,
         text: text.clone(),
     };
@@ -63,6 +68,10 @@
         // The logger writes a line in several parts.
         write!(writer, "line ").expect("accepted");
         writeln!(writer, "{number}").expect("accepted");
+        if number == 0 {
+            // The thread holds the first line and waits; it takes no other from the queue.
+            begun.recv_timeout(LIMIT).expect("the first write begins");
+        }
     }
     assert!(start.elapsed() < LIMIT / 2, "logging was blocked");
     drop(resume_sender);
@@ -79,10 +88,7 @@
         .lines()
         .filter_map(|line| line.strip_prefix("dropped ")?.parse::<usize>().ok())
         .sum();
-    assert!(
-        (QUEUE_CAPACITY..=QUEUE_CAPACITY + 1).contains(&written),
-        "{written}"
-    );
+    assert_eq!(written, QUEUE_CAPACITY + 1);
     assert_eq!(written + dropped, lines);
     assert!(text.ends_with("last\n"));
 }
--- /dev/null
+++ b/trefoillock-process/tests/explanation.rs
@@ -0,0 +1,31 @@
+//! The cause that an explanation finds from log lines alone.
+
+use serde_json::json;
+use trefoillock_process::LogLines;
+
+/// Returns the cause of an error of version v2, given the time at which its roll-out was taken back.
+fn cause_with_rollback_at(time: &str) -> String {
+    let log = [
+        json!({ "event": 1405, "time": "2026-01-01T00:00:01Z", "service": "desk", "version": "v2" }),
+        json!({ "event": 1406, "time": time, "service": "desk", "state": "rolledback" }),
+        json!({ "event": 1803, "time": "2026-01-01T00:00:09.5Z", "request": "a1",
+                "server": "vm-1@10.0.0.1:80", "status": "500", "version": "v2" }),
+    ];
+    let text = log.map(|line| line.to_string()).join("\n");
+    let mut lines = LogLines::default();
+    lines.read("control", text.as_bytes()).expect("a log");
+    lines.explain("a1").expect("a line").cause().to_owned()
+}
+
+#[test]
+fn an_error_while_the_rollback_reaches_the_nodes_is_explained_by_the_roll_out() {
+    for time in ["2026-01-01T00:00:09.4Z", "2026-01-01T00:00:09.6Z"] {
+        let cause = cause_with_rollback_at(time);
+        assert!(
+            cause.contains("which a roll-out gave desk and took back"),
+            "{cause}"
+        );
+    }
+    let cause = cause_with_rollback_at("2026-01-01T00:00:03Z");
+    assert!(!cause.contains("roll-out"), "{cause}");
+}
