--- a/trefoillock-stand-ins/tests/call_promises.rs
+++ b/trefoillock-stand-ins/tests/call_promises.rs
@@ -173,11 +173,13 @@
             FaultStep::HeadSent,
             FaultStep::HalfBody,
         ] {
-            let pause = Fault::Pause(Duration::from_millis(150));
-            mesh.faults().arm(step, pause);
+            let gate = Gate::new();
+            mesh.faults().arm(step, Fault::Gate(gate.clone()));
             let late = lookup(round).deadline_ms(50);
             let report = caller.call(mesh.caller_address(0), &late).await;
             assert_ne!(report.outcome, Outcome::Answered, "{report:?}");
+            // The rest of the answer is sent while the next calls are under way.
+            gate.open();
             let calls = (100..120).map(|n| {
                 let (caller, entry) = (caller.clone(), mesh.caller_address(0));
                 async move { caller.call(entry, &lookup(n)).await }
