--- a/trefoillock-stand-ins/src/mesh_node.rs
+++ b/trefoillock-stand-ins/src/mesh_node.rs
@@ -6,6 +6,7 @@
     io,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
+    time::Duration,
 };
 
 use tokio::{net::TcpListener, runtime::Runtime, task::JoinHandle};
@@ -19,6 +20,9 @@
 use trefoillock_process::Clock;
 use trefoillock_rpc::Token;
 
+/// The longest time to wait for the tasks of a killed node.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A node with its own runtime, so that a test can kill it as if it were a process.
 #[derive(Debug)]
 pub struct MeshNode {
@@ -165,10 +169,14 @@
         self.stop.cancel();
     }
 
-    /// Kills the node: drops all its tasks and connections at once.
+    /// Kills the node: drops all its tasks and connections, and returns when they are closed.
     pub fn crash(&mut self) {
         if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
+            // A runtime must not be waited for on a thread of another one.
+            let crash = std::thread::spawn(move || runtime.shutdown_timeout(CRASH_TIMEOUT));
+            if crash.join().is_err() {
+                log::error!("the runtime of a crashed node panicked");
+            }
         }
     }
 }
