--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -91,12 +91,12 @@
     ServerCrashed = 1203, "server-crashed", Warn;
     /// A backend server stated in its answers another limit on the rate of calls; fields: address, limit and
     /// previous in calls per second or none, omitted.
-    ServerLimitChanged = 1204, "server-limit-changed", Info;
+    RateLimitChanged = 1204, "rate-limit-changed", Info;
     /// A backend server said in an answer that it leaves; fields: address, omitted.
-    ServerLeaving = 1205, "server-leaving", Info;
+    ServerDeparting = 1205, "server-departing", Info;
     /// A backend server made a statement about itself that cannot be read; the statement is ignored; fields:
     /// address, error, omitted.
-    ServerStatementIgnored = 1206, "server-statement-ignored", Warn;
+    StatementIgnored = 1206, "statement-ignored", Warn;
     /// A node cut the share of a new pool to zero on its own evidence; fields: route, move.
     LocalCut = 1301, "local-cut", Warn;
     /// An edit was accepted; fields: id, version, moves.
--- a/trefoillock-process/src/explanation.rs
+++ b/trefoillock-process/src/explanation.rs
@@ -89,14 +89,14 @@
                 ));
             }
             Some(Event::ServerLost) => self.server = with_time("lost".to_owned()),
-            Some(Event::ServerLimitChanged) => {
+            Some(Event::RateLimitChanged) => {
                 self.limit = with_time(format!(
                     "{} states {} calls a second",
                     line.text("address"),
                     line.text("limit")
                 ));
             }
-            Some(Event::ServerLeaving) => {
+            Some(Event::ServerDeparting) => {
                 self.server = with_time(format!("{} says it leaves", line.text("address")));
             }
             Some(Event::RolloutStepped) => {
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -339,12 +339,12 @@
     let text = |limit: Option<CallRate>| limit.map_or("none".to_owned(), |rate| rate.to_string());
     let (number, details) = match &event.change {
         ServerChange::Limit { limit, previous } => (
-            Event::ServerLimitChanged,
+            Event::RateLimitChanged,
             vec![("limit", text(*limit)), ("previous", text(*previous))],
         ),
-        ServerChange::Leaving => (Event::ServerLeaving, Vec::new()),
+        ServerChange::Leaving => (Event::ServerDeparting, Vec::new()),
         ServerChange::Invalid(invalid) => (
-            Event::ServerStatementIgnored,
+            Event::StatementIgnored,
             vec![("error", invalid.to_string())],
         ),
     };
