--- a/trefoillock-moves/tests/rollouts.rs
+++ b/trefoillock-moves/tests/rollouts.rs
@@ -13,25 +13,51 @@
 
 /// Number of time steps that evidence takes from the nodes to the leader.
 const EVIDENCE_DELAY_STEPS: usize = 3;
+/// The same where the nodes are two relays away from the leader, and each report waits its longest.
+const LONG_EVIDENCE_DELAY_STEPS: usize = 6;
 const TIME_STEP: Duration = Duration::from_millis(250);
 const DURATION: Duration = Duration::from_secs(16);
+/// The fraction of calls that fail in a good version.
+const BASE_FAILURE_RATE: f64 = 0.004;
 /// Calls that a bad version may get by the users' rule: a fraction of the calls until the
 /// deadline, plus a fixed number.
 const MAX_EXPOSURE: (f64, f64) = (0.1, 50.0);
 
-/// How the new version behaves from a time after its start: the fraction of calls that fail and
-/// the factor on latencies.
+/// How the new version behaves from a time after its start, and from a share of the calls: the
+/// fraction of calls that are affected, and how.
 #[derive(Clone, Copy)]
 struct Behaviour {
-    failure_rate: f64,
-    latency_factor: f64,
+    affected: f64,
+    effect: Effect,
     since: Duration,
+    min_share: f64,
+}
+
+/// What an affected call suffers.
+#[derive(Clone, Copy)]
+enum Effect {
+    Fails,
+    Takes { factor: f64 },
 }
 
 const GOOD: Behaviour = Behaviour {
-    failure_rate: 0.004,
-    latency_factor: 1.0,
+    affected: 0.0,
+    effect: Effect::Fails,
     since: Duration::ZERO,
+    min_share: 0.0,
+};
+
+/// What happens to the leader and to the evidence on its way.
+#[derive(Clone, Copy)]
+struct Disturbance {
+    evidence_delay_steps: usize,
+    /// When the process of the leader restarts.
+    restart_at: Option<Duration>,
+}
+
+const CALM: Disturbance = Disturbance {
+    evidence_delay_steps: EVIDENCE_DELAY_STEPS,
+    restart_at: None,
 };
 
 struct Outcome {
@@ -69,7 +95,7 @@
     }
 }
 
-fn run(rate: f64, behaviour: Behaviour, seed: u64) -> Outcome {
+fn run(rate: f64, behaviour: Behaviour, disturbance: Disturbance, seed: u64) -> Outcome {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let start = Timestamp::from_secs(1_000);
     // The clock of the replica that accepted the order is one hour ahead.
@@ -98,6 +124,10 @@
     let mut elapsed = Duration::ZERO;
     while elapsed < DURATION {
         let now = start + elapsed;
+        if disturbance.restart_at == Some(elapsed) {
+            controller = RolloutController::new();
+            in_transit.clear();
+        }
         controller.track(now, &rollouts);
         let current = &rollouts[&service];
         let mut evidence = MoveEvidence::default();
@@ -109,11 +139,14 @@
             remaining -= 1.0;
             let is_new = rng.random::<f64>() < current.share.fraction();
             outcome.exposed += f64::from(u8::from(is_new));
-            let is_affected = is_new && elapsed >= behaviour.since;
-            let (failure_rate, latency_factor) = if is_affected {
-                (behaviour.failure_rate, behaviour.latency_factor)
-            } else {
-                (0.004, 1.0)
+            let is_affected = is_new
+                && elapsed >= behaviour.since
+                && current.share.fraction() >= behaviour.min_share
+                && rng.random::<f64>() < behaviour.affected;
+            let (failure_rate, latency_factor) = match behaviour.effect {
+                Effect::Fails if is_affected => (1.0, 1.0),
+                Effect::Takes { factor } if is_affected => (BASE_FAILURE_RATE, factor),
+                Effect::Fails | Effect::Takes { .. } => (BASE_FAILURE_RATE, 1.0),
             };
             let pool = if is_new {
                 &mut evidence.new
@@ -132,7 +165,7 @@
             moves,
             ..Evidence::default()
         });
-        if in_transit.len() > EVIDENCE_DELAY_STEPS {
+        if in_transit.len() > disturbance.evidence_delay_steps {
             controller.add_evidence(&in_transit.remove(0));
         }
         for step in controller.decide(now, &rollouts, &members(), true) {
@@ -158,7 +191,7 @@
 fn rollouts_of_good_versions_complete_before_the_deadline() {
     for rate in [15.0, 60.0, 290.0, 600.0] {
         for seed in 0..40 {
-            let outcome = run(rate, GOOD, seed);
+            let outcome = run(rate, GOOD, CALM, seed);
             assert_eq!(
                 outcome.state,
                 RolloutState::Completed,
@@ -169,31 +202,103 @@
     }
 }
 
+/// Half of the calls fail or take eight times as long.
+const fn half(effect: Effect, since: Duration, min_share: f64) -> Behaviour {
+    Behaviour {
+        affected: 0.5,
+        effect,
+        since,
+        min_share,
+    }
+}
+
+const SLOW: Effect = Effect::Takes { factor: 8.0 };
+
+/// Asserts that a version is rolled back, after no more calls than the users' rule allows.
+fn assert_rolled_back(rate: f64, behaviour: Behaviour, disturbance: Disturbance, case: &str) {
+    for seed in 0..40 {
+        let outcome = run(rate, behaviour, disturbance, seed);
+        let case = format!("{case}, {rate}/s, seed {seed}");
+        assert_eq!(outcome.state, RolloutState::RolledBack, "{case}");
+        let max_exposed = MAX_EXPOSURE.0 * outcome.calls + MAX_EXPOSURE.1;
+        assert!(
+            outcome.exposed <= max_exposed,
+            "{case}: {} of {max_exposed}",
+            outcome.exposed
+        );
+    }
+}
+
 #[test]
 fn bad_versions_are_rolled_back_within_the_exposure_limit() {
-    let bad = |failure_rate, latency_factor, from| Behaviour {
-        failure_rate,
-        latency_factor,
-        since: Duration::from_secs(from),
+    let late = Duration::from_secs(6);
+    let all_slow = Behaviour {
+        affected: 1.0,
+        ..half(SLOW, Duration::ZERO, 0.0)
     };
     let cases = [
-        ("errors at once", bad(0.5, 1.0, 0)),
-        ("errors late", bad(0.5, 1.0, 6)),
-        ("slow", bad(0.004, 8.0, 0)),
+        ("errors at once", half(Effect::Fails, Duration::ZERO, 0.0)),
+        ("errors late", half(Effect::Fails, late, 0.0)),
+        ("slow", all_slow),
     ];
     for rate in [60.0, 290.0, 600.0] {
         for (name, behaviour) in cases {
-            for seed in 0..40 {
-                let outcome = run(rate, behaviour, seed);
-                let case = format!("{name}, {rate}/s, seed {seed}");
-                assert_eq!(outcome.state, RolloutState::RolledBack, "{case}");
-                let max_exposed = MAX_EXPOSURE.0 * outcome.calls + MAX_EXPOSURE.1;
-                assert!(
-                    outcome.exposed <= max_exposed,
-                    "{case}: {} of {max_exposed}",
-                    outcome.exposed
-                );
-            }
+            assert_rolled_back(rate, behaviour, CALM, name);
+        }
+    }
+}
+
+#[test]
+fn a_version_that_is_slow_for_half_of_its_calls_is_rolled_back() {
+    for rate in [35.0, 60.0, 290.0, 600.0] {
+        let behaviour = half(SLOW, Duration::ZERO, 0.0);
+        assert_rolled_back(rate, behaviour, CALM, "half slow");
+    }
+}
+
+#[test]
+fn a_version_that_fails_only_at_the_full_share_is_not_completed() {
+    let far = Disturbance {
+        evidence_delay_steps: LONG_EVIDENCE_DELAY_STEPS,
+        ..CALM
+    };
+    let behaviour = half(Effect::Fails, Duration::ZERO, 1.0);
+    for rate in [35.0, 60.0] {
+        assert_rolled_back(rate, behaviour, far, "fails at the full share, far");
+    }
+    for rate in [35.0, 60.0, 290.0, 600.0] {
+        assert_rolled_back(rate, behaviour, CALM, "fails at the full share");
+    }
+}
+
+#[test]
+fn a_restart_of_the_leader_does_not_move_the_deadline_of_a_rollout() {
+    for seconds in [2, 5, 9, 12] {
+        let restarted = Disturbance {
+            restart_at: Some(Duration::from_secs(seconds)),
+            ..CALM
+        };
+        for seed in 0..40 {
+            let outcome = run(60.0, GOOD, restarted, seed);
+            let case = format!("restart after {seconds} s, seed {seed}");
+            assert_eq!(outcome.state, RolloutState::Completed, "{case}");
+            assert!(outcome.at < DURATION, "{case}");
+        }
+    }
+}
+
+#[test]
+fn a_restart_of_the_leader_does_not_let_a_bad_version_pass() {
+    for seconds in [5, 9, 12, 14, 15] {
+        let restarted = Disturbance {
+            restart_at: Some(Duration::from_secs(seconds)),
+            ..CALM
+        };
+        for rate in [15.0, 35.0, 290.0] {
+            let late = Duration::from_secs(seconds - 1);
+            let behaviour = half(Effect::Fails, late, 0.0);
+            let case = format!("fails 1 s before a restart after {seconds} s");
+            assert_rolled_back(rate, behaviour, restarted, &case);
         }
     }
 }
--- a/trefoillock-replica/src/driver.rs
+++ b/trefoillock-replica/src/driver.rs
@@ -24,6 +24,9 @@
     waiters::{ChangeAnswer, ProposeAnswer, Waiter, Waiters},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// The maximum number of commands or messages that are processed before their effects are executed.
 const MAX_BATCHED_INPUTS: usize = 256;
 /// The number of ticks per heartbeat interval.
--- a/trefoillock-replica/tests/machine.rs
+++ b/trefoillock-replica/tests/machine.rs
@@ -12,6 +12,8 @@
 };
 
 const START: Timestamp = Timestamp::from_secs(1_000);
+/// The time after which a leader that holds up the others because of its disk has stepped down.
+const DISK_STALL_LIMIT: Duration = Duration::from_millis(1_500);
 
 fn id(number: u64) -> ReplicaId {
     ReplicaId::new(number)
@@ -584,3 +586,58 @@
     let gaps = asked_after.windows(2).map(|two| two[1] - two[0]);
     assert!(gaps.eq([1_400 / size + 1; 3]), "{asked_after:?}");
 }
+
+#[test]
+fn a_leader_whose_disk_hangs_gives_way_to_replicas_that_can_apply() {
+    let mut harness = Harness::new(3, 0, Vec::new(), Limits::default());
+    harness.elect(&[2, 3]);
+    harness.accept(2, 1);
+    harness.accept(3, 1);
+    harness.sync = false;
+    let command = Payload::from(b"change".as_slice());
+    let proposed = harness.replica.propose(harness.now, command);
+    let index = proposed.expect("a leader").index;
+    harness.execute_effects();
+    let end = harness.now + DISK_STALL_LIMIT;
+    while harness.now < end && harness.replica.role() == ReplicaRole::Leader {
+        harness.accept(2, index.get());
+        harness.accept(3, index.get());
+        harness.advance(Duration::from_millis(20));
+    }
+    assert_eq!(harness.replica.commit(), index);
+    assert!(harness.replica.applied() < index);
+    assert_eq!(harness.replica.role(), ReplicaRole::Follower);
+    let term = harness.replica.term();
+    harness.advance(Duration::from_secs(5));
+    assert_eq!(
+        harness.replica.term(),
+        term,
+        "it campaigns with a hanging disk"
+    );
+    harness.sync = true;
+    harness.execute_effects();
+    assert_eq!(harness.replica.applied(), index);
+}
+
+#[test]
+fn a_leader_whose_disk_hangs_keeps_leading_while_no_other_replica_can_apply() {
+    let mut harness = Harness::new(3, 0, Vec::new(), Limits::default());
+    harness.elect(&[2, 3]);
+    harness.accept(2, 1);
+    harness.accept(3, 1);
+    harness.sync = false;
+    let command = Payload::from(b"change".as_slice());
+    harness
+        .replica
+        .propose(harness.now, command)
+        .expect("a leader");
+    harness.execute_effects();
+    let end = harness.now + Duration::from_secs(5);
+    while harness.now < end {
+        harness.accept(2, 1);
+        harness.accept(3, 1);
+        harness.advance(Duration::from_millis(20));
+    }
+    assert_eq!(harness.replica.role(), ReplicaRole::Leader);
+    assert!(harness.replica.lease_until().is_some());
+}
