fix(replica): count suspensions of the VM when a lease is judged

Cause: the replica's clock was std's monotonic one, which stands still while a VM is suspended. A jump of the wall clock was looked for at ticks only. A leader that was suspended for seconds, and replaced meanwhile, answered every read that reached it before the next tick, up to 20 ms later, by the lease from before the suspension.

Why it works: the clock is CLOCK_BOOTTIME, so the first input after a suspension shows an advance beyond max_clock_step and the lease is dropped before the input is handled. The comparison with the wall clock is made at each input too. The published end of the lease is a BootInstant, so its readers do not compare it with a clock that stood still.

--- a/trefoillock-process/src/lib.rs
+++ b/trefoillock-process/src/lib.rs
@@ -4,6 +4,7 @@
 //! never block the process. The package depends on `trefoillock-core`; the daemon, the client and
 //! the packages that log events use it.
 
+mod boot_instant;
 mod call_settings;
 mod clock;
 mod event;
@@ -17,6 +18,7 @@
 mod signals;
 mod stop_settings;
 
+pub use boot_instant::BootInstant;
 pub use call_settings::CallSettings;
 pub use clock::Clock;
 pub use event::{Event, LogLevel};
--- a/trefoillock-replica/src/driver.rs
+++ b/trefoillock-replica/src/driver.rs
@@ -12,7 +12,8 @@
     time::{Interval, MissedTickBehavior},
 };
 use tokio_util::sync::CancellationToken;
-use trefoillock_core::{LogIndex, ReplicaId};
+use trefoillock_core::{LogIndex, ReplicaId, Timestamp};
+use trefoillock_process::BootInstant;
 
 use crate::{
     BatchId, ChangeError, Content, Effect, Entry, Envelope, FolderError, MembershipChange, Payload,
@@ -57,7 +58,7 @@
     pub(crate) disk: DiskThread,
     pub(crate) peers: Peers,
     pub(crate) status: watch::Sender<ReplicaStatus>,
-    pub(crate) lease: watch::Sender<Option<Instant>>,
+    pub(crate) lease: watch::Sender<Option<BootInstant>>,
     pub(crate) waiters: Waiters,
     pub(crate) reads: BTreeMap<ReadId, oneshot::Sender<Result<LogIndex, ReadError>>>,
     pub(crate) last_read_id: u64,
@@ -96,7 +97,8 @@
                 result = inputs.synced.recv() => {
                     let result = result.ok_or("the disk thread has ended")?;
                     let batch = result.map_err(|error| error.to_string())?;
-                    self.replica.report_synced(self.clock.now(), batch);
+                    let now = self.read_clock();
+                    self.replica.report_synced(now, batch);
                 }
                 count = inputs.inbox.recv_many(&mut messages, MAX_BATCHED_INPUTS) => {
                     if count == 0 {
@@ -124,11 +126,17 @@
         ticks
     }
 
-    fn tick(&mut self) {
-        let now = self.clock.now();
+    /// Returns the present time. If the VM was suspended since the last input, the replica gives up
+    /// its lease before it handles the next one.
+    fn read_clock(&mut self) -> Timestamp {
         if self.clock.detect_jump() {
             self.replica.report_clock_jump();
         }
+        self.clock.now()
+    }
+
+    fn tick(&mut self) {
+        let now = self.read_clock();
         self.replica.tick(now);
         self.waiters.answer_expired(now);
         self.reads.retain(|_, waiting| !waiting.is_closed());
@@ -148,12 +156,12 @@
             .unwrap_or_else(PoisonError::into_inner);
         last_heard.insert(from.id, Instant::now());
         drop(last_heard);
-        self.replica
-            .receive(self.clock.now(), from, envelope.message);
+        let now = self.read_clock();
+        self.replica.receive(now, from, envelope.message);
     }
 
     fn handle_command(&mut self, command: Command) {
-        let now = self.clock.now();
+        let now = self.read_clock();
         let deadline = now + self.settings.answer_timeout;
         match command {
             Command::Propose(bytes, answer) => {
@@ -277,7 +285,7 @@
         let status = ReplicaStatus::from_replica(&self.replica);
         // The instant is read before the clock, so the published lease never ends later than the
         // real one.
-        let instant = Instant::now();
+        let instant = BootInstant::now();
         let now = self.clock.now();
         let lease = status.lease_until.map(|until| instant + until.since(now));
         self.lease.send_replace(lease);
--- a/trefoillock-replica/src/driver/tests.rs
+++ b/trefoillock-replica/src/driver/tests.rs
@@ -152,7 +152,7 @@
             system: SYSTEM.to_owned(),
             from: ReplicaIdentity {
                 id: ReplicaId::new(from),
-                disk: DiskId::new(from.into()),
+                disk: DiskId::new(from),
             },
             address: address(from),
             to: ReplicaId::new(1),
--- a/trefoillock-replica/src/handle.rs
+++ b/trefoillock-replica/src/handle.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::{Error, LogIndex, Peer, ReplicaId, Step};
+use trefoillock_process::BootInstant;
 use trefoillock_rpc::{RpcServer, TrafficCounter};
 
 use crate::{
@@ -37,7 +38,7 @@
     commands: mpsc::Sender<Command>,
     inbox: mpsc::Sender<Envelope>,
     status: watch::Receiver<ReplicaStatus>,
-    lease: watch::Receiver<Option<Instant>>,
+    lease: watch::Receiver<Option<BootInstant>>,
     traffic: Arc<TrafficCounter>,
     last_heard: Arc<Mutex<BTreeMap<ReplicaId, Instant>>>,
     stop: CancellationToken,
@@ -221,7 +222,7 @@
     ///
     /// No other replica can lead before it. The value is `None` without a lease.
     #[must_use]
-    pub fn lease(&self) -> watch::Receiver<Option<Instant>> {
+    pub fn lease(&self) -> watch::Receiver<Option<BootInstant>> {
         self.lease.clone()
     }
 
--- a/trefoillock-replica/src/monotonic_clock.rs
+++ b/trefoillock-replica/src/monotonic_clock.rs
@@ -2,10 +2,11 @@
 
 use std::{
     fmt,
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, SystemTime},
 };
 
 use trefoillock_core::Timestamp;
+use trefoillock_process::BootInstant;
 
 /// The change of the offset between wall clock and monotonic clock that counts as a jump.
 const JUMP_THRESHOLD: Duration = Duration::from_millis(100);
@@ -13,7 +14,8 @@
 /// Readings of the clocks of a VM, taken at the same time.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClockReadings {
-    /// The time since an arbitrary moment, on a clock that is never stepped.
+    /// The time since an arbitrary moment, on a clock that is never stepped and also counts the time
+    /// for which the VM is suspended.
     pub(crate) monotonic: Duration,
     /// The time of day.
     pub(crate) wall: Timestamp,
@@ -31,7 +33,7 @@
 
 impl MonotonicClock {
     pub(crate) fn new() -> Self {
-        let anchor = Instant::now();
+        let anchor = BootInstant::now();
         Self::with_source(Box::new(move || ClockReadings {
             monotonic: anchor.elapsed(),
             wall: wall_clock(),
@@ -57,7 +59,7 @@
 
     /// Returns whether the wall clock jumped relative to the monotonic clock since the last call.
     ///
-    /// The monotonic clock stops while a machine is suspended; the wall clock does not.
+    /// A hypervisor may stop all clocks of a VM but the wall clock, which it sets afterwards.
     pub(crate) fn detect_jump(&mut self) -> bool {
         let readings = (self.read)();
         let wall = i128::from(readings.wall.as_micros());
--- a/trefoillock-replica/tests/loopback.rs
+++ b/trefoillock-replica/tests/loopback.rs
@@ -2,16 +2,14 @@
 
 mod support;
 
-use std::{
-    path::Path,
-    time::{Duration, Instant},
-};
+use std::{path::Path, time::Duration};
 
 use support::{
     HANG_TIMEOUT, RunningReplica, listener, listener_at, settings, start, wait_for_leader,
     wait_until_applied,
 };
 use trefoillock_core::{LogIndex, ReplicaId};
+use trefoillock_process::BootInstant;
 use trefoillock_replica::{ChangeError, ProposeError, ReadError, ReplicaHandle};
 
 async fn start_three(root: &Path) -> Vec<RunningReplica> {
@@ -178,7 +176,7 @@
     let leader_index = wait_for_leader(&replicas).await;
     let alone = replicas.swap_remove(leader_index);
     let mut lease = alone.handle.lease();
-    let holds = |end: &Option<Instant>| end.is_some_and(|end| end > Instant::now());
+    let holds = |end: &Option<BootInstant>| end.is_some_and(|end| end > BootInstant::now());
     let waited = tokio::time::timeout(HANG_TIMEOUT, lease.wait_for(holds)).await;
     assert!(
         waited.is_ok_and(|lease| lease.is_ok()),
--- a/trefoillock-roles/src/leadership.rs
+++ b/trefoillock-roles/src/leadership.rs
@@ -6,13 +6,13 @@
 use std::{
     fmt,
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use tokio::sync::watch;
 use trefoillock_control::{ControlState, LeadershipRole};
 use trefoillock_core::{Config, Term};
-use trefoillock_process::Event;
+use trefoillock_process::{BootInstant, Event};
 use trefoillock_replica::{ReadError, ReplicaHandle, ReplicaRole, ReplicaStatus};
 
 use crate::{process_context::ProcessContext, shared_store::SharedStore};
@@ -77,15 +77,18 @@
 }
 
 /// Waits until the lease ends. Never returns if there is none.
-async fn wait_for_lease_end(end: Option<Instant>) {
+async fn wait_for_lease_end(end: Option<BootInstant>) {
     match end {
-        Some(end) => tokio::time::sleep_until(end.into()).await,
+        Some(end) => tokio::time::sleep(end.saturating_duration_since(BootInstant::now())).await,
         None => std::future::pending().await,
     }
 }
 
 /// Waits until a lease is granted. Never returns if there already is one.
-async fn wait_for_lease(end: Option<Instant>, lease: &mut watch::Receiver<Option<Instant>>) {
+async fn wait_for_lease(
+    end: Option<BootInstant>,
+    lease: &mut watch::Receiver<Option<BootInstant>>,
+) {
     if end.is_some() || lease.changed().await.is_err() {
         std::future::pending::<()>().await;
     }
@@ -149,7 +152,7 @@
         let mut config = self.store.subscribe_config();
         let mut tick = tokio::time::interval(CONFIRM_INTERVAL);
         loop {
-            let lease_end = (*lease.borrow()).filter(|end| *end > Instant::now());
+            let lease_end = (*lease.borrow()).filter(|end| *end > BootInstant::now());
             tokio::select! {
                 () = self.context.shutdown.cancelled() => return,
                 () = wait_for_lease_end(lease_end) => {}
@@ -182,14 +185,14 @@
     /// before this call. Returns no later than the lease ends.
     async fn confirm_leadership(
         &self,
-        lease: &watch::Receiver<Option<Instant>>,
+        lease: &watch::Receiver<Option<BootInstant>>,
     ) -> Result<(), ConfirmationError> {
-        let lease_end = || (*lease.borrow()).filter(|end| *end > Instant::now());
+        let lease_end = || (*lease.borrow()).filter(|end| *end > BootInstant::now());
         let Some(end) = lease_end() else {
             return Err(ConfirmationError::NoLease);
         };
-        let limit = end.min(Instant::now() + CONFIRM_TIMEOUT);
-        let barrier = tokio::time::timeout_at(limit.into(), self.replica.read_barrier());
+        let limit = end.saturating_duration_since(BootInstant::now());
+        let barrier = tokio::time::timeout(limit.min(CONFIRM_TIMEOUT), self.replica.read_barrier());
         match barrier.await {
             Ok(Ok(_)) if lease_end().is_some() => Ok(()),
             Ok(Ok(_)) => Err(ConfirmationError::LeaseEnded),
