fix(control): confirm nothing to nodes once the lease has ended

A control replica's side of the distribution learned the end of the lease only from the task that publishes the leadership. Messages that arrived while the VM was suspended are handled before that: a node that restarts could be welcomed, and its configuration confirmed, by a leader that has been replaced.

The end of the lease is now compared with the present time, on a clock that counts suspensions, before each message.

Evidence: a_leader_whose_lease_has_ended_confirms_nothing_before_it_is_told_so; with certain_role() returning the role alone it fails, as before this change. The clock of the links stays the monotonic one: what they measure is silence that the process could have heard.

--- a/trefoillock-control/src/control_agent.rs
+++ b/trefoillock-control/src/control_agent.rs
@@ -6,6 +6,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::{CrashReport, Evidence, Fingerprint, Guard, Members, Timestamp};
+use trefoillock_process::BootInstant;
 use trefoillock_rpc::RpcServer;
 
 use crate::{
@@ -28,6 +29,8 @@
 pub struct ControlInputs {
     /// The role, the configuration and the addresses of the replicas.
     pub state: watch::Receiver<ControlState>,
+    /// The end of the lease of the replica; `None` without a lease.
+    pub lease: watch::Receiver<Option<BootInstant>>,
     /// The request fingerprints that nodes must refuse, each with the end of its quarantine.
     pub quarantined: watch::Receiver<BTreeMap<Fingerprint, Timestamp>>,
 }
@@ -119,6 +122,7 @@
             tokio::select! {
                 () = stop.cancelled() => return,
                 Ok(()) = self.inputs.state.changed() => {
+                    self.update_lease();
                     let state = self.inputs.state.borrow_and_update().clone();
                     self.machine.set_state(self.clock.now(), &state);
                 }
@@ -128,6 +132,7 @@
                 }
                 Some(event) = self.events.recv() => self.on_event(event),
                 _ = tick.tick() => {
+                    self.update_lease();
                     let now = self.clock.now();
                     self.machine.on_tick(now);
                     if now.since(last_output) >= OUTPUT_INTERVAL {
@@ -140,7 +145,16 @@
         }
     }
 
+    /// Compares the end of the lease with the present time. Messages that arrived while the VM was
+    /// suspended are handled before the replica notices that it does not lead any more.
+    fn update_lease(&mut self) {
+        let end = *self.inputs.lease.borrow();
+        let holds_lease = end.is_some_and(|end| end > BootInstant::now());
+        self.machine.set_lease_held(holds_lease);
+    }
+
     fn on_event(&mut self, event: ChildEvent) {
+        self.update_lease();
         let now = self.clock.now();
         match event {
             ChildEvent::Opened(key, sender) => self.children.open(key, sender),
--- a/trefoillock-control/src/control_machine.rs
+++ b/trefoillock-control/src/control_machine.rs
@@ -85,6 +85,8 @@
 pub struct ControlMachine {
     address: SocketAddr,
     role: LeadershipRole,
+    /// Whether the lease of this replica holds at present; only then is its role as leader certain.
+    holds_lease: bool,
     config: Option<Arc<Config>>,
     distributor: Distributor,
     node_table: NodeTable,
@@ -118,6 +120,7 @@
         Self {
             address,
             role: LeadershipRole::Following { leader: None },
+            holds_lease: true,
             config: None,
             distributor: Distributor::default(),
             node_table: NodeTable::default(),
@@ -149,6 +152,22 @@
         self.send_updates(now);
     }
 
+    /// Sets whether the lease of this replica holds. It may have ended, for instance while the VM was
+    /// suspended, before [`Self::set_state`] is told that the replica does not lead any more.
+    pub const fn set_lease_held(&mut self, holds_lease: bool) {
+        self.holds_lease = holds_lease;
+    }
+
+    /// Returns the role of this replica as far as it is certain at present.
+    const fn certain_role(&self) -> LeadershipRole {
+        match self.role {
+            LeadershipRole::Leading { term } if !self.holds_lease => {
+                LeadershipRole::Unconfirmed { term }
+            }
+            role => role,
+        }
+    }
+
     /// Returns the role to take. A replica that was elected but has not led in this term does not
     /// know the fleet, so nodes are treated as while no leader is known.
     fn next_role(&self, role: LeadershipRole) -> LeadershipRole {
@@ -329,9 +348,7 @@
 
     /// Runs the timers: drops silent children, expires leases, and publishes and sends what is due.
     pub fn on_tick(&mut self, now: Timestamp) {
-        if !self.is_leading() {
-            self.answer_waiting_nodes(now);
-        }
+        self.answer_waiting_nodes(now);
         if matches!(self.role, LeadershipRole::Following { .. }) {
             return;
         }
@@ -363,10 +380,10 @@
         self.quarantined = quarantined;
     }
 
-    /// Returns whether this replica is the leader.
+    /// Returns whether this replica is the leader and its lease holds.
     #[must_use]
     pub const fn is_leading(&self) -> bool {
-        matches!(self.role, LeadershipRole::Leading { .. })
+        matches!(self.certain_role(), LeadershipRole::Leading { .. })
     }
 
     /// Returns the last published member list.
--- a/trefoillock-control/src/control_machine/admission.rs
+++ b/trefoillock-control/src/control_machine/admission.rs
@@ -15,7 +15,7 @@
 
 impl ControlMachine {
     pub(super) fn on_hello(&mut self, now: Timestamp, key: ChildKey, hello: &Hello) {
-        let placement = match self.role {
+        let placement = match self.certain_role() {
             LeadershipRole::Leading { .. } => self.place(now, hello),
             LeadershipRole::Following {
                 leader: Some(leader),
@@ -98,7 +98,7 @@
     /// Answers the waiting nodes once a leader is known, and closes the connections of those whose
     /// wait is over.
     pub(super) fn answer_waiting_nodes(&mut self, now: Timestamp) {
-        let knows_leader = match self.role {
+        let knows_leader = match self.certain_role() {
             LeadershipRole::Leading { .. } => true,
             LeadershipRole::Unconfirmed { .. } => false,
             LeadershipRole::Following { leader } => leader.is_some(),
--- a/trefoillock-control/tests/lease_lapse.rs
+++ b/trefoillock-control/tests/lease_lapse.rs
@@ -136,3 +136,28 @@
     let welcome = ControlEffect::Send(OTHER_NODE, DownMessage::Welcome);
     assert!(machine.take_effects().contains(&welcome));
 }
+
+#[test]
+fn a_leader_whose_lease_has_ended_confirms_nothing_before_it_is_told_so() {
+    let mut machine = leader_with_node();
+    machine.set_lease_held(false);
+    assert!(!machine.is_leading());
+    let next_report = UpMessage::Report(Box::new(report(1)));
+    machine.on_child_message(START, NODE, &next_report);
+    machine.on_child_message(START, OTHER_NODE, &hello("vm-2", 7_002));
+    let welcome = ControlEffect::Send(OTHER_NODE, DownMessage::Welcome);
+    let effects = machine.take_effects();
+    assert!(!effects.contains(&welcome));
+    let confirmed = effects.iter().filter_map(|effect| match effect {
+        ControlEffect::Send(_, DownMessage::ReportReply(reply)) => Some(reply.confirmed_round),
+        _ => None,
+    });
+    assert_eq!(confirmed.max(), Some(1));
+
+    machine.set_lease_held(true);
+    machine.on_tick(START);
+    assert!(machine.take_effects().contains(&welcome));
+    let next_report = UpMessage::Report(Box::new(report(2)));
+    machine.on_child_message(START, NODE, &next_report);
+    assert_eq!(confirmed_rounds(&mut machine), [3]);
+}
--- a/trefoillock-control/tests/sockets.rs
+++ b/trefoillock-control/tests/sockets.rs
@@ -19,11 +19,15 @@
     Announcement, Config, ConfigVersion, CrashReport, Evidence, Fingerprint, Incarnation,
     MemberState, Members, MoveEvidence, MoveId, NodeId, PoolEvidence, ServerId, Term, Timestamp,
 };
+use trefoillock_process::BootInstant;
 use trefoillock_rpc::{RpcServer, Token, TrafficCounter};
 
 /// The time after which a test that still waits fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// A lease that lasts longer than any test.
+const LEASE: Duration = Duration::from_hours(1);
+
 struct ControlReplica {
     address: SocketAddr,
     state: watch::Sender<ControlState>,
@@ -42,8 +46,10 @@
             replicas: Vec::new(),
         });
         let (quarantined, quarantined_rx) = watch::channel(BTreeMap::new());
+        let lease_end = BootInstant::now() + LEASE;
         let inputs = ControlInputs {
             state: state_rx,
+            lease: watch::channel(Some(lease_end)).1,
             quarantined: quarantined_rx,
         };
         let (agent, outputs) = ControlAgent::new(address, inputs);
--- a/trefoillock-roles/src/control_role.rs
+++ b/trefoillock-roles/src/control_role.rs
@@ -56,8 +56,12 @@
         };
         let (state_tx, state) = watch::channel(initial_state);
         let (quarantined_tx, quarantined) = watch::channel(BTreeMap::new());
-        let (agent, outputs) =
-            ControlAgent::new(settings.mesh, ControlInputs { state, quarantined });
+        let inputs = ControlInputs {
+            state,
+            lease: replica.lease(),
+            quarantined,
+        };
+        let (agent, outputs) = ControlAgent::new(settings.mesh, inputs);
         let traffic = Arc::new(TrafficCounter::new());
         let server = RpcServer::new(context.token.clone(), traffic.clone());
         let mut server = agent.add_rpc_handlers(replica.add_rpc_handlers(server));
--- a/trefoillock-stand-ins/examples/control/sockets.rs
+++ b/trefoillock-stand-ins/examples/control/sockets.rs
@@ -18,6 +18,7 @@
     NodeIdentity, NodeInputs, NodeOutputs, Payload,
 };
 use trefoillock_core::{Config, ConfigVersion, Incarnation, Term};
+use trefoillock_process::BootInstant;
 use trefoillock_rpc::{RpcClient, RpcServer, Streaming, Token, TrafficCounter};
 use trefoillock_stand_ins::fleet::sample;
 
@@ -65,6 +66,9 @@
     figures
 }
 
+/// A lease that lasts longer than the measurement.
+const LEASE: Duration = Duration::from_hours(1);
+
 async fn measure_ours(nodes: usize, figures: &mut SocketFigures) {
     let stop = CancellationToken::new();
     let (listener, address) = listen().await;
@@ -75,8 +79,10 @@
         replicas: Vec::new(),
     });
     let (_quarantined, quarantined_rx) = watch::channel(BTreeMap::new());
+    let lease_end = BootInstant::now() + LEASE;
     let inputs = ControlInputs {
         state: state_rx,
+        lease: watch::channel(Some(lease_end)).1,
         quarantined: quarantined_rx,
     };
     let (agent, outputs) = ControlAgent::new(address, inputs);
