fix(replica): a leader whose disk hangs gives way to replicas that can apply

Callers saw: roll-outs stood still, changes were not acknowledged and a bad version kept its share while the leader's disk hung.

Cause: a leader applies only what its own disk has synced. With a hanging disk it kept sending heartbeats, so nobody replaced it, and nothing was applied at the one place that acknowledges and distributes.

Why it works: a leader with an entry that a quorum has committed, but its own disk has not synced for election_max, steps down, and does not campaign before the sync. If the others cannot go on either, it stays: then nothing is gained, and reads by its lease go on. Stepping down is always safe.

--- a/trefoillock-replica/src/replica.rs
+++ b/trefoillock-replica/src/replica.rs
@@ -71,6 +71,16 @@
     Leader,
 }
 
+/// A batch of writes that is not synced yet.
+#[derive(Debug, Clone, Copy)]
+struct UnsyncedBatch {
+    id: BatchId,
+    /// The last log index that is on disk once the batch is synced.
+    last: LogIndex,
+    /// When the batch was handed out.
+    since: Timestamp,
+}
+
 /// The consensus state of one replica. It does no I/O and reads no clock.
 ///
 /// After each input, [`Replica::take_effects`] returns the effects to execute, in order.
@@ -114,8 +124,8 @@
     /// The index of the first entry that no batch contains yet.
     first_unwritten: Option<LogIndex>,
     snapshot_unwritten: bool,
-    /// The last log index of each batch that is not synced yet.
-    in_flight: VecDeque<(BatchId, LogIndex)>,
+    /// The batches that are not synced yet, oldest first.
+    in_flight: VecDeque<UnsyncedBatch>,
     /// The last log index that is synced.
     persisted: LogIndex,
     outgoing: Vec<Outgoing>,
@@ -267,10 +277,10 @@
     pub fn report_synced(&mut self, now: Timestamp, batch: BatchId) {
         self.advance(now);
         self.synced_batch = self.synced_batch.max(batch);
-        while let Some(&(written, last)) = self.in_flight.front()
-            && written <= self.synced_batch
+        while let Some(oldest) = self.in_flight.front()
+            && oldest.id <= self.synced_batch
         {
-            self.persisted = last;
+            self.persisted = oldest.last;
             self.in_flight.pop_front();
         }
         self.count_own_vote();
--- a/trefoillock-replica/src/replica/append.rs
+++ b/trefoillock-replica/src/replica/append.rs
@@ -113,8 +113,8 @@
         self.memberships.retain(|(at, _)| *at < index);
         let last = self.log.last().index;
         self.persisted = self.persisted.min(last);
-        for (_, written) in &mut self.in_flight {
-            *written = (*written).min(last);
+        for batch in &mut self.in_flight {
+            batch.last = batch.last.min(last);
         }
     }
 
--- a/trefoillock-replica/src/replica/election.rs
+++ b/trefoillock-replica/src/replica/election.rs
@@ -18,7 +18,7 @@
     pub(super) fn start_pre_vote(&mut self) {
         self.reset_election_timer();
         self.leader = None;
-        if !self.may_campaign() || self.refused.is_some() {
+        if !self.may_campaign() || self.refused.is_some() || self.disk_hangs() {
             return;
         }
         self.role = Role::PreCandidate {
--- a/trefoillock-replica/src/replica/output.rs
+++ b/trefoillock-replica/src/replica/output.rs
@@ -4,7 +4,7 @@
 
 use trefoillock_core::ReplicaId;
 
-use crate::{BatchId, Effect, Entry, Message, Replica, Write};
+use crate::{BatchId, Effect, Entry, Message, Replica, Write, replica::UnsyncedBatch};
 
 /// A message that is not emitted as an effect yet.
 #[derive(Debug, Clone)]
@@ -62,7 +62,11 @@
         }
         self.last_batch = self.last_batch.next();
         let batch = self.last_batch;
-        self.in_flight.push_back((batch, self.log.last().index));
+        self.in_flight.push_back(UnsyncedBatch {
+            id: batch,
+            last: self.log.last().index,
+            since: self.now(),
+        });
         self.effects.push(Effect::Write { batch, writes });
     }
 
--- a/trefoillock-replica/src/replica/replicate.rs
+++ b/trefoillock-replica/src/replica/replicate.rs
@@ -25,11 +25,24 @@
             leadership.heartbeat_due = now + self.timing.heartbeat;
             leadership.round_requested = true;
         }
-        if now.since(leadership.quorum_contact_at) >= self.timing.election_min {
+        let has_lost_quorum = now.since(leadership.quorum_contact_at) >= self.timing.election_min;
+        if has_lost_quorum || self.delays_others() {
             self.become_follower(term, None);
         }
     }
 
+    /// Returns whether the others could apply entries that this leader cannot apply, because its disk
+    /// hangs. Until it applies them it neither answers proposals nor distributes what they changed.
+    fn delays_others(&self) -> bool {
+        self.commit > self.persisted && self.disk_hangs()
+    }
+
+    /// Returns whether a batch of writes has waited for its sync for too long.
+    pub(super) fn disk_hangs(&self) -> bool {
+        let oldest = self.in_flight.front();
+        oldest.is_some_and(|batch| self.now().since(batch.since) >= self.timing.election_max)
+    }
+
     /// Appends an entry of the leader's own term to the log.
     pub(super) fn append_own(&mut self, content: Content) -> Position {
         let index = self.log.last().index.next();
--- a/trefoillock-replica/src/timing.rs
+++ b/trefoillock-replica/src/timing.rs
@@ -14,6 +14,8 @@
     /// follower withholds its vote.
     pub election_min: Duration,
     /// The longest election timeout: a follower without messages from a leader campaigns within it.
+    /// Also the time for which a leader may wait for its disk while the others could apply entries
+    /// without it.
     pub election_max: Duration,
     /// The duration of a lease, from the start of a heartbeat round that a quorum answered.
     pub lease: Duration,
