fix(store,node): give rolled-back versions no calls in later roll-outs of the service

Cause: a roll-out divides the calls of a service between its new version and all other ones. When a second roll-out followed before the servers of a version that had been rolled back were gone, that version counted among the others, and got its full share of the calls.

Why it works: each roll-out carries the versions of the service that were rolled back before, nodes leave them out of the old part, and an order for one of them takes it off the list.

--- a/trefoillock-core/src/pool.rs
+++ b/trefoillock-core/src/pool.rs
@@ -1,5 +1,7 @@
 //! Rows of the table of pools: which backend servers form a pool, and its limits.
 
+use std::collections::BTreeSet;
+
 use trefoillock_macros::data;
 
 use crate::{PoolName, ServiceName, VersionLabel};
@@ -13,8 +15,8 @@
     Any,
     /// One version.
     Only(VersionLabel),
-    /// All versions but one.
-    Except(VersionLabel),
+    /// All versions but these.
+    Except(BTreeSet<VersionLabel>),
 }
 
 impl PoolVersions {
@@ -24,7 +26,7 @@
         match self {
             Self::Any => true,
             Self::Only(only) => only == version,
-            Self::Except(except) => except != version,
+            Self::Except(except) => !except.contains(version),
         }
     }
 
--- a/trefoillock-core/src/rollout.rs
+++ b/trefoillock-core/src/rollout.rs
@@ -2,7 +2,7 @@
 
 use trefoillock_macros::data;
 
-use crate::{MoveId, ServiceName, Share, Timestamp, VersionLabel};
+use crate::{MoveId, PoolVersions, ServiceName, Share, Timestamp, VersionLabel};
 
 /// The state of a rollout.
 #[data(key)]
@@ -46,6 +46,10 @@
     pub step: u32,
     /// A description of the evidence for the last step, for operators.
     pub evidence: String,
+    /// The versions of the service whose earlier rollouts were rolled back. Backend servers that still
+    /// run one of them get no calls. The oldest comes first.
+    #[serde(default)]
+    pub rejected: Vec<VersionLabel>,
 }
 
 /// A decision on a rollout, which the leader appends to the replicated log.
@@ -74,6 +78,24 @@
     pub version: VersionLabel,
     /// The share of the service's calls that the new version gets.
     pub share: Share,
+    /// The versions that get no calls because their rollouts were rolled back.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rejected: Vec<VersionLabel>,
+}
+
+impl RolloutShare {
+    /// The versions that share the calls which the new version does not get.
+    #[must_use]
+    pub fn old_versions(&self) -> PoolVersions {
+        let excluded = self.rejected.iter().chain([&self.version]);
+        PoolVersions::Except(excluded.cloned().collect())
+    }
+
+    /// The new version.
+    #[must_use]
+    pub fn new_versions(&self) -> PoolVersions {
+        PoolVersions::Only(self.version.clone())
+    }
 }
 
 impl From<&Rollout> for RolloutShare {
@@ -83,6 +105,7 @@
             step: rollout.step,
             version: rollout.version.clone(),
             share: rollout.share,
+            rejected: rollout.rejected.clone(),
         }
     }
 }
--- a/trefoillock-moves/tests/rollouts.rs
+++ b/trefoillock-moves/tests/rollouts.rs
@@ -111,6 +111,7 @@
         share: Share::ZERO,
         step: 0,
         evidence: String::new(),
+        rejected: Vec::new(),
     };
     let mut rollouts = BTreeMap::from([(service.clone(), rollout)]);
     let mut controller = RolloutController::new();
--- a/trefoillock-node/src/view.rs
+++ b/trefoillock-node/src/view.rs
@@ -40,8 +40,8 @@
         };
         Self {
             rollout: rollout.clone(),
-            old: with_versions(PoolVersions::Except(rollout.version.clone())),
-            new: with_versions(PoolVersions::Only(rollout.version.clone())),
+            old: with_versions(rollout.old_versions()),
+            new: with_versions(rollout.new_versions()),
         }
     }
 }
--- a/trefoillock-store/src/table_store.rs
+++ b/trefoillock-store/src/table_store.rs
@@ -21,6 +21,8 @@
     encoding,
 };
 
+/// Number of versions of one service that are kept as rejected.
+const MAX_REJECTED_VERSIONS: usize = 64;
 /// Number of ended moves kept for reports.
 const MAX_ENDED_MOVES: usize = 256;
 /// Number of edits, and of documents, whose answers are kept so that a resend gets the same
@@ -306,9 +308,12 @@
                 return false;
             }
         }
+        let previous = self.state.rollouts.get(&service);
+        let rejected = previous.map(|previous| rejected_versions(previous, &to));
         self.state.last_move = self.state.last_move.next();
         let rollout = Rollout {
             id: self.state.last_move,
+            rejected: rejected.unwrap_or_default(),
             service: service.clone(),
             version: to,
             started,
@@ -521,3 +526,15 @@
 fn content_hash(edit: &Edit) -> u64 {
     xxh3_64(&rmp_serde::to_vec_named(&(edit.base, &edit.tables)).unwrap_or_default())
 }
+
+/// The versions that get no calls in a rollout of version `next` after `previous`, oldest first.
+fn rejected_versions(previous: &Rollout, next: &VersionLabel) -> Vec<VersionLabel> {
+    let mut rejected = previous.rejected.clone();
+    if previous.state == RolloutState::RolledBack {
+        rejected.push(previous.version.clone());
+    }
+    rejected.retain(|version| version != next);
+    let surplus = rejected.len().saturating_sub(MAX_REJECTED_VERSIONS);
+    rejected.drain(..surplus);
+    rejected
+}
