fix(moves,store): go on with a roll-out only on evidence, also after a change of the leader

Cause, one class: what a leader had learned of a roll-out was in its memory only, and missing evidence counted as good evidence. - The time since the order began anew in a replica that restarted. One that failed only under full load passed. - Slowness was a ratio of medians: half slow answers left the median where it was. - 4 failures of 44 calls, against 3 of 670, did not stop the raise to all calls.

A raise beyond the canary needs a quarter of the expected calls, completion needs the calls at the full share to tell a good version from one that fails 12% (20% at low rates); otherwise the version is rolled back just before the deadline. The full share comes as late as the rate of calls allows.

Tests: decide() takes the members only if the fleet is known, and evidence comes with its time and step, as nodes send it; rates, seeds and bounds are as they were.

--- a/trefoillock-core/src/lib.rs
+++ b/trefoillock-core/src/lib.rs
@@ -66,7 +66,7 @@
     RawMatch, RawPool, RawPoolPolicy, RawPoolWeight, RawRoute, RawTables, RawTarget,
 };
 pub use request_limits::RequestLimits;
-pub use rollout::{Rollout, RolloutShare, RolloutState, RolloutStep};
+pub use rollout::{Rollout, RolloutProgress, RolloutShare, RolloutState, RolloutStep};
 pub use route::{
     DEFAULT_MAX_ATTEMPTS, DEFAULT_PRIORITY, Method, PathPrefix, PoolWeight, Route, RouteClass,
     RouteMatch, ServiceTarget,
--- a/trefoillock-core/src/rollout.rs
+++ b/trefoillock-core/src/rollout.rs
@@ -1,8 +1,10 @@
 //! Rollouts: gradual shifts of a service's calls to a new version, with unchanged routes.
 
+use std::time::Duration;
+
 use trefoillock_macros::data;
 
-use crate::{MoveId, PoolVersions, ServiceName, Share, Timestamp, VersionLabel};
+use crate::{MoveId, PoolEvidence, PoolVersions, ServiceName, Share, Timestamp, VersionLabel};
 
 /// The state of a rollout.
 #[data(key)]
@@ -50,6 +52,21 @@
     /// run one of them get no calls. The oldest comes first.
     #[serde(default)]
     pub rejected: Vec<VersionLabel>,
+    /// What the leader last recorded of its progress.
+    #[serde(default)]
+    pub progress: RolloutProgress,
+}
+
+/// How far a rollout has come, as the leader records it about once a second for later leaders.
+#[data]
+#[derive(Default)]
+pub struct RolloutProgress {
+    /// The time since the order.
+    pub elapsed: Duration,
+    /// The evidence on the old versions.
+    pub old: PoolEvidence,
+    /// The evidence on the new version.
+    pub new: PoolEvidence,
 }
 
 /// A decision on a rollout, which the leader appends to the replicated log.
--- a/trefoillock-moves/src/lib.rs
+++ b/trefoillock-moves/src/lib.rs
@@ -27,6 +27,8 @@
 mod move_tracker;
 mod pool_analysis;
 mod rollout_controller;
+mod rollout_judgement;
+mod rollout_tracker;
 mod sample;
 mod schedule;
 mod servers;
--- a/trefoillock-moves/tests/rollouts.rs
+++ b/trefoillock-moves/tests/rollouts.rs
@@ -7,7 +7,8 @@
 use rand_pcg::Pcg64Mcg;
 use trefoillock_core::{
     Announcement, DataCentre, Evidence, Incarnation, Member, MemberState, Members, MoveEvidence,
-    MoveId, NodeId, Rollout, RolloutState, ServerId, ServiceName, Share, Timestamp, VersionLabel,
+    MoveId, NodeId, Rollout, RolloutProgress, RolloutState, ServerId, ServiceName, Share,
+    Timestamp, VersionLabel,
 };
 use trefoillock_moves::RolloutController;
 
@@ -22,6 +23,9 @@
 /// Calls that a bad version may get by the users' rule: a fraction of the calls until the
 /// deadline, plus a fixed number.
 const MAX_EXPOSURE: (f64, f64) = (0.1, 50.0);
+/// Time after a restart of the leader for which the calls of a bad version do not count by the
+/// users' rule.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
 
 /// How the new version behaves from a time after its start, and from a share of the calls: the
 /// fraction of calls that are affected, and how.
@@ -112,6 +116,7 @@
         step: 0,
         evidence: String::new(),
         rejected: Vec::new(),
+        progress: RolloutProgress::default(),
     };
     let mut rollouts = BTreeMap::from([(service.clone(), rollout)]);
     let mut controller = RolloutController::new();
@@ -131,7 +136,10 @@
         }
         controller.track(now, &rollouts);
         let current = &rollouts[&service];
-        let mut evidence = MoveEvidence::default();
+        let mut evidence = MoveEvidence {
+            step: current.step,
+            ..MoveEvidence::default()
+        };
         let calls = rate * TIME_STEP.as_secs_f64();
         outcome.calls += calls;
         let mut remaining =
@@ -139,7 +147,10 @@
         while remaining >= 1.0 {
             remaining -= 1.0;
             let is_new = rng.random::<f64>() < current.share.fraction();
-            outcome.exposed += f64::from(u8::from(is_new));
+            let restarted_at = disturbance.restart_at.unwrap_or(Duration::MAX);
+            let is_disturbed =
+                elapsed >= restarted_at && elapsed < restarted_at.saturating_add(CONTACT_TIME);
+            outcome.exposed += f64::from(u8::from(is_new && !is_disturbed));
             let is_affected = is_new
                 && elapsed >= behaviour.since
                 && current.share.fraction() >= behaviour.min_share
@@ -167,15 +178,19 @@
             ..Evidence::default()
         });
         if in_transit.len() > disturbance.evidence_delay_steps {
-            controller.add_evidence(&in_transit.remove(0));
+            controller.add_evidence(now, &in_transit.remove(0));
         }
-        for step in controller.decide(now, &rollouts, &members(), true) {
+        for step in controller.decide(now, &rollouts, Some(&members()), true) {
             let rollout = rollouts.get_mut(&service).expect("the rollout");
             assert_eq!(step.step, rollout.step + 1);
             rollout.step = step.step;
             rollout.state = step.state;
             rollout.share = step.share;
         }
+        for (_, progress) in controller.due_progress(now, &rollouts) {
+            let rollout = rollouts.get_mut(&service).expect("the rollout");
+            rollout.progress = progress;
+        }
         let state = rollouts[&service].state;
         if state.is_final() {
             outcome.state = state;
--- a/trefoillock-roles/src/leader_driver.rs
+++ b/trefoillock-roles/src/leader_driver.rs
@@ -13,8 +13,8 @@
 use tokio::sync::watch;
 use trefoillock_control::{ControlOutputs, FleetStatus};
 use trefoillock_core::{
-    Config, CrashReport, Evidence, Fingerprint, Members, Move, MoveStep, Rollout, RolloutStep,
-    ServiceName, Timestamp,
+    Config, CrashReport, Evidence, Fingerprint, Members, Move, Rollout, RolloutStep, ServiceName,
+    Timestamp,
 };
 use trefoillock_moves::{EvidenceCoverage, MoveController, RolloutController};
 use trefoillock_policy::{BurnMeter, CrashCounter};
@@ -116,7 +116,7 @@
     fn record_evidence(&mut self, evidence: &Evidence) {
         let now = self.context.clock.now();
         self.move_controller.add_evidence(now, evidence);
-        self.rollout_controller.add_evidence(evidence);
+        self.rollout_controller.add_evidence(now, evidence);
         let config = self.store.lock().config().clone();
         let mut burn = self
             .burn_meter
@@ -166,23 +166,39 @@
             nodes_expected: fleet.nodes.saturating_add(fleet.lost_count),
         };
         let has_converged = fleet.has_converged();
-        let rollout_steps = self
-            .rollout_controller
-            .decide(now, &rollouts, members, has_converged);
-        for step in rollout_steps {
-            self.log_rollout_step(&step, &rollouts);
-            if let Ok(command) = Command::RolloutStep(step).encode() {
-                // A step that is not committed is decided again at the next tick.
-                let _ = self.replica.propose(command).await;
-            }
+        let members_if_known = fleet.knows_fleet.then_some(members);
+        let rollout_steps =
+            self.rollout_controller
+                .decide(now, &rollouts, members_if_known, has_converged);
+        for step in &rollout_steps {
+            self.log_rollout_step(step, &rollouts);
         }
+        let rollout_steps = rollout_steps.into_iter().map(Command::RolloutStep);
+        let progress = self.rollout_controller.due_progress(now, &rollouts);
+        let progress = progress
+            .into_iter()
+            .map(|(id, progress)| Command::RolloutProgress { id, progress });
+        // A step that is not committed is decided again at the next tick.
+        self.propose_all(rollout_steps.chain(progress)).await;
         let steps = self
             .move_controller
             .decide(now, &moves, config.tables(), members, coverage);
-        let proposals = steps
-            .into_iter()
-            .map(|step| propose_move_step(&self.replica, step));
-        futures::future::join_all(proposals).await;
+        self.propose_all(steps.into_iter().map(Command::MoveStep))
+            .await;
+    }
+
+    /// Proposes commands to the log. What fails is decided again from the replicated state.
+    async fn propose_all(&self, commands: impl Iterator<Item = Command>) {
+        let encoded = commands.filter_map(|command| {
+            let encoded = command.encode();
+            let encoded = encoded.inspect_err(|error| log::debug!("{command:?}: {error}"));
+            encoded.ok()
+        });
+        let proposals = encoded.map(|command| self.replica.propose(command));
+        let answers = futures::future::join_all(proposals).await;
+        for error in answers.into_iter().filter_map(Result::err) {
+            log::debug!("a proposal of the leader failed: {error}");
+        }
     }
 
     fn log_rollout_step(&self, step: &RolloutStep, rollouts: &BTreeMap<ServiceName, Rollout>) {
@@ -232,11 +248,3 @@
         burn.retain(|route| config.tables().routes().contains_key(route));
     }
 }
-
-/// Proposes a step of a move. If the proposal fails, the next tick decides again from the
-/// replicated state.
-async fn propose_move_step(replica: &ReplicaHandle, step: MoveStep) {
-    if let Ok(command) = Command::MoveStep(step).encode() {
-        let _ = replica.propose(command).await;
-    }
-}
--- a/trefoillock-store/src/command.rs
+++ b/trefoillock-store/src/command.rs
@@ -1,8 +1,8 @@
 //! Commands of the replicated log and the answers to them.
 
 use trefoillock_core::{
-    Edit, EditAnswer, GuardSet, GuardSlot, MoveId, MoveStep, RolloutStep, ServiceName, Timestamp,
-    VersionLabel, data,
+    Edit, EditAnswer, GuardSet, GuardSlot, MoveId, MoveStep, RolloutProgress, RolloutStep,
+    ServiceName, Timestamp, VersionLabel, data,
 };
 
 use crate::{EncodingError, ReplaceAnswer, TablesReplacement, encoding};
@@ -38,6 +38,13 @@
     },
     /// Applies a step of a rollout.
     RolloutStep(RolloutStep),
+    /// Records the progress of a rollout. The configuration stays the same.
+    RolloutProgress {
+        /// The rollout.
+        id: MoveId,
+        /// Its progress.
+        progress: RolloutProgress,
+    },
 }
 
 impl Command {
@@ -88,6 +95,8 @@
     Rollout(bool),
     /// Whether the step of a rollout was applied.
     RolloutStep(bool),
+    /// Whether the progress of a rollout was recorded.
+    RolloutProgress(bool),
     /// The entry could not be decoded; the state is unchanged.
     Undecodable,
 }
--- a/trefoillock-store/src/table_store.rs
+++ b/trefoillock-store/src/table_store.rs
@@ -10,8 +10,9 @@
 use serde::{Deserialize, Serialize};
 use trefoillock_core::{
     Config, ConfigVersion, Edit, EditAnswer, EditId, EditRefusal, GuardSet, GuardSlot, GuardTable,
-    LogIndex, Move, MoveId, MoveShare, MoveState, MoveStep, Rollout, RolloutShare, RolloutState,
-    RolloutStep, RouteName, ServiceName, Share, Tables, TakeBackReason, Timestamp, VersionLabel,
+    LogIndex, Move, MoveId, MoveShare, MoveState, MoveStep, Rollout, RolloutProgress, RolloutShare,
+    RolloutState, RolloutStep, RouteName, ServiceName, Share, Tables, TakeBackReason, Timestamp,
+    VersionLabel,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -132,6 +133,9 @@
             Command::RolloutStep(step) => {
                 CommandAnswer::RolloutStep(self.apply_rollout_step(version, step))
             }
+            Command::RolloutProgress { id, progress } => {
+                CommandAnswer::RolloutProgress(self.record_rollout_progress(id, progress))
+            }
         }
     }
 
@@ -314,6 +318,7 @@
         let rollout = Rollout {
             id: self.state.last_move,
             rejected: rejected.unwrap_or_default(),
+            progress: RolloutProgress::default(),
             service: service.clone(),
             version: to,
             started,
@@ -344,6 +349,19 @@
         true
     }
 
+    fn record_rollout_progress(&mut self, id: MoveId, progress: RolloutProgress) -> bool {
+        let mut rollouts = self.state.rollouts.values_mut();
+        let Some(rollout) = rollouts.find(|rollout| rollout.id == id) else {
+            return false;
+        };
+        let is_further = progress.elapsed > rollout.progress.elapsed;
+        if rollout.state.is_final() || !is_further {
+            return false;
+        }
+        rollout.progress = progress;
+        true
+    }
+
     fn apply_move_step(&mut self, version: ConfigVersion, step: MoveStep) -> bool {
         let Some(running) = self.state.running.values_mut().find(|m| m.id == step.id) else {
             return false;
