fix(control): report failures of a new version to the leader at once

The same cause looked for on the way of the evidence: each hop collected counts for up to 0.5 s and sent them with its next report, every 0.4 s, and the leader read them every 0.2 s.

Batches that contain failures of a new version are sent after 0.1 s, with an early report, at each hop; good calls keep their pace, so the control traffic of a roll-out that goes well stays as it was. The leader reads its outputs every 0.1 s.

--- a/trefoillock-control/src/control_agent.rs
+++ b/trefoillock-control/src/control_agent.rs
@@ -18,7 +18,7 @@
 /// The interval at which the timers of the state machine run.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// The interval at which the outputs are published.
-const OUTPUT_INTERVAL: Duration = Duration::from_millis(200);
+const OUTPUT_INTERVAL: Duration = Duration::from_millis(100);
 /// The capacity of the queue of evidence; while it is full, evidence is aggregated further.
 const EVIDENCE_QUEUE_CAPACITY: usize = 64;
 /// The capacity of the queue of crash reports; reports beyond it are dropped.
--- a/trefoillock-control/src/evidence_outbox.rs
+++ b/trefoillock-control/src/evidence_outbox.rs
@@ -4,7 +4,7 @@
 
 use trefoillock_core::{CrashReport, Evidence, Timestamp, data};
 
-use crate::timing::EVIDENCE_INTERVAL;
+use crate::timing::{EVIDENCE_INTERVAL, URGENT_EVIDENCE_INTERVAL};
 
 /// The largest number of crash reports that are queued to be sent.
 const MAX_CRASHES: usize = 256;
@@ -31,6 +31,8 @@
     evidence: Evidence,
     crashes: BTreeSet<CrashReport>,
     outstanding: Option<EvidenceBatch>,
+    /// Whether the queued counts contain failures of a new version.
+    is_urgent: bool,
     last_sequence: u64,
     last_batch: Timestamp,
 }
@@ -38,6 +40,8 @@
 impl EvidenceOutbox {
     /// Adds counts and crash reports; beyond the limit crash reports are dropped.
     pub fn add(&mut self, evidence: &Evidence, crashes: impl IntoIterator<Item = CrashReport>) {
+        let mut moves = evidence.moves.values();
+        self.is_urgent |= moves.any(|counts| counts.new.failures > 0);
         self.evidence.merge(evidence);
         self.crashes.extend(crashes);
         while self.crashes.len() > MAX_CRASHES {
@@ -45,14 +49,26 @@
         }
     }
 
+    /// Returns whether the queued counts contain failures of a new version, which are sent earlier.
+    #[must_use]
+    pub const fn is_urgent(&self) -> bool {
+        self.is_urgent
+    }
+
     /// Returns the outstanding batch, after forming a new one if none is outstanding and
-    /// [`EVIDENCE_INTERVAL`] has passed.
+    /// [`EVIDENCE_INTERVAL`] has passed, or [`URGENT_EVIDENCE_INTERVAL`] for failures of a new version.
     pub fn due_batch(&mut self, now: Timestamp) -> Option<EvidenceBatch> {
-        let is_due = now.since(self.last_batch) >= EVIDENCE_INTERVAL;
+        let interval = if self.is_urgent {
+            URGENT_EVIDENCE_INTERVAL
+        } else {
+            EVIDENCE_INTERVAL
+        };
+        let is_due = now.since(self.last_batch) >= interval;
         let has_content = !self.evidence.is_empty() || !self.crashes.is_empty();
         if self.outstanding.is_none() && is_due && has_content {
             self.last_sequence += 1;
             self.last_batch = now;
+            self.is_urgent = false;
             self.outstanding = Some(EvidenceBatch {
                 sequence: self.last_sequence,
                 evidence: std::mem::take(&mut self.evidence),
--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -152,6 +152,7 @@
     pub fn add_evidence(&mut self, evidence: &Evidence, crashes: Vec<CrashReport>) {
         self.needs_early_report |= !crashes.is_empty();
         self.evidence_outbox.add(evidence, crashes);
+        self.needs_early_report |= self.evidence_outbox.is_urgent();
     }
 
     fn queue_change(&mut self, change: SubtreeChange) {
@@ -347,6 +348,7 @@
         self.uplink.set_parent_search(now, searching);
         self.evidence_outbox
             .acknowledge(reply.acknowledged_evidence);
+        self.needs_early_report |= self.evidence_outbox.is_urgent();
         if is_confirmed {
             self.confirmed_round = reply.confirmed_round;
             self.min_versions.config = self.min_versions.config.max(reply.min_versions.config);
--- a/trefoillock-control/src/node_machine/relay.rs
+++ b/trefoillock-control/src/node_machine/relay.rs
@@ -62,6 +62,7 @@
         if let Some(batch) = reported.evidence {
             self.needs_early_report |= !batch.crashes.is_empty();
             self.evidence_outbox.add(&batch.evidence, batch.crashes);
+            self.needs_early_report |= self.evidence_outbox.is_urgent();
         }
         self.needs_early_report |= self.distributor.awaits_confirmation();
         self.send_reply(now, key);
--- a/trefoillock-control/src/timing.rs
+++ b/trefoillock-control/src/timing.rs
@@ -16,6 +16,8 @@
 pub const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 /// The shortest time between two evidence batches of one sender.
 pub const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
+/// The same if the batch contains failures of a new version.
+pub const URGENT_EVIDENCE_INTERVAL: Duration = Duration::from_millis(100);
 /// The shortest time between two versions of the member list; changes within it are combined.
 pub const MEMBERS_WINDOW: Duration = Duration::from_millis(100);
 /// The time for which a new leader publishes no member list, unless no node of the fleet holds
