fix(backend): end a call that a backend server answers without end

Interim responses without end kept a connection open for 8.8 s with a timeout of 0.6 s, and a body without end was never broken off while its caller did not read.

Cause: the deadline was looked at by whoever waits for the answer. hyper's connection task was not part of that: it read interim responses on without giving way, and a body is only polled, and its deadline only looked at, while the caller reads; a body that always has a frame ready passed the deadline too.

Why it works: the task of the connection carries the bounds of its call: 128 KiB until the head is complete, and the deadline plus 200 ms. It drops the socket and frees the slot by itself. Bodies whose frames are ready may be 200 ms late, so answers that are ready are still delivered.

--- a/trefoillock-backend/src/body.rs
+++ b/trefoillock-backend/src/body.rs
@@ -3,6 +3,7 @@
 use std::{
     pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -49,11 +50,15 @@
         .boxed_unsync()
 }
 
+/// The time after its deadline for which a body may go on as long as it has frames ready.
+pub const LATE_BODY_TIME: Duration = Duration::from_millis(200);
+
 /// A body that fails with [`BodyError::Deadline`] if it waits for a frame when the deadline has
-/// passed.
+/// passed, and [`LATE_BODY_TIME`] later at the latest, since a faulty peer may send frames without end.
 pub struct DeadlineBody {
     inner: Body,
     deadline: Pin<Box<Sleep>>,
+    end: Instant,
 }
 
 impl DeadlineBody {
@@ -63,6 +68,7 @@
         Self {
             inner,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
+            end: deadline + LATE_BODY_TIME,
         }
     }
 }
@@ -75,8 +81,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Poll::Ready(frame) = Pin::new(&mut self.inner).poll_frame(cx) {
-            return Poll::Ready(frame);
+        match Pin::new(&mut self.inner).poll_frame(cx) {
+            Poll::Ready(Some(_)) if Instant::now() >= self.end => {
+                return Poll::Ready(Some(Err(BodyError::Deadline)));
+            }
+            Poll::Ready(frame) => return Poll::Ready(frame),
+            Poll::Pending => {}
         }
         match self.deadline.as_mut().poll(cx) {
             Poll::Ready(()) => Poll::Ready(Some(Err(BodyError::Deadline))),
--- a/trefoillock-backend/src/connection.rs
+++ b/trefoillock-backend/src/connection.rs
@@ -20,7 +20,15 @@
     time::Instant,
 };
 
-use crate::{Body, slots::ConnectionPermit};
+use crate::{
+    Body,
+    bounded_connection::BoundedConnection,
+    call_bounds::CallBounds,
+    slots::{ConnectionPermit, Slot},
+};
+
+/// The largest number of bytes that are buffered of a response.
+const READ_BUFFER_BYTES: usize = 128 * 1024;
 
 /// A connection that carries one call at a time.
 ///
@@ -30,6 +38,7 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Body>,
     bytes_written: Arc<AtomicU64>,
+    bounds: Arc<CallBounds>,
     task: JoinHandle<()>,
     pub(crate) idle_since: Instant,
     _permit: ConnectionPermit,
@@ -41,23 +50,47 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let bytes_written = Arc::new(AtomicU64::new(0));
+        let bounds = Arc::new(CallBounds::new());
         let io = TokioIo::new(CountingStream {
             stream,
             bytes_written: bytes_written.clone(),
+            bounds: bounds.clone(),
         });
-        let (sender, conn) = http1::handshake(io).await.map_err(io::Error::other)?;
-        let task = tokio::spawn(async move {
-            let _ = conn.await;
-        });
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(io);
+        let (sender, conn) = handshake.await.map_err(io::Error::other)?;
+        let task = tokio::spawn(BoundedConnection::new(conn, bounds.clone()));
         Ok(Self {
             sender,
             bytes_written,
+            bounds,
             task,
             idle_since: Instant::now(),
             _permit: permit,
         })
     }
 
+    /// Starts a call. The connection is closed at `end` if the call has not ended by then.
+    pub(crate) fn start_call(&self, end: Instant, slot: Slot) {
+        self.bounds.start_call(end, slot);
+    }
+
+    /// Notes that the head of the response has arrived.
+    pub(crate) fn end_head(&self) {
+        self.bounds.end_head();
+    }
+
+    /// Whether the backend server has sent more bytes than a head may have.
+    pub(crate) fn is_head_too_long(&self) -> bool {
+        self.bounds.is_head_too_long()
+    }
+
+    /// Ends the call and returns its slot, unless the call was broken off.
+    pub(crate) fn end_call(&self) -> Option<Slot> {
+        self.bounds.end_call()
+    }
+
     /// The number of bytes written to the socket so far.
     pub(crate) fn bytes_written(&self) -> u64 {
         self.bytes_written.load(Ordering::Acquire)
@@ -75,13 +108,15 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
+        drop(self.bounds.end_call());
     }
 }
 
-/// A TCP stream that counts the bytes written to its socket.
+/// A TCP stream that counts the bytes written to its socket, and ends a head that is too long.
 struct CountingStream {
     stream: TcpStream,
     bytes_written: Arc<AtomicU64>,
+    bounds: Arc<CallBounds>,
 }
 
 impl CountingStream {
@@ -100,7 +135,14 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        if self.bounds.is_head_too_long() {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "the head is too long");
+            return Poll::Ready(Err(error));
+        }
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.bounds.count_read(buf.filled().len() - before);
+        polled
     }
 }
 
--- a/trefoillock-backend/src/lib.rs
+++ b/trefoillock-backend/src/lib.rs
@@ -12,6 +12,8 @@
 
 mod announcements;
 mod body;
+mod bounded_connection;
+mod call_bounds;
 mod connection;
 mod dialect;
 mod failure;
@@ -28,7 +30,9 @@
 mod statement_log;
 
 pub use announcements::{AnnounceError, Announcements};
-pub use body::{Body, BodyError, DeadlineBody, SizedBody, box_body, empty_body, full_body};
+pub use body::{
+    Body, BodyError, DeadlineBody, LATE_BODY_TIME, SizedBody, box_body, empty_body, full_body,
+};
 pub use dialect::{DefaultDialect, Dialect, ResponseKind};
 pub use failure::{CallFailure, Crash, Execution, NotExecuted};
 pub use lease::LEASE_DURATION;
--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -19,8 +19,8 @@
 use trefoillock_process::Clock;
 
 use crate::{
-    Body, CallFailure, Crash, DefaultDialect, Dialect, NotExecuted, ResponseKind, ServerChange,
-    ServerStatement,
+    Body, CallFailure, Crash, DefaultDialect, Dialect, LATE_BODY_TIME, NotExecuted, ResponseKind,
+    ServerChange, ServerStatement,
     connection::Connection,
     response_body::ResponseBody,
     slots::{Slot, SlotRefusal, Slots},
@@ -292,9 +292,11 @@
             self.dialect
                 .write_request_headers(req.headers_mut(), &self.announcement, left);
         let before = conn.bytes_written();
+        conn.start_call(limits.deadline + LATE_BODY_TIME, slot);
         let answer = timeout_at(limits.deadline, conn.sender.try_send_request(req)).await;
         let reason = match answer {
             Ok(Ok(resp)) => {
+                conn.end_head();
                 let (head, body) = resp.into_parts();
                 let kind = self.dialect.classify_response(expected.as_ref(), &head);
                 if kind != ResponseKind::Mismatched
@@ -304,13 +306,13 @@
                 }
                 return match kind {
                     ResponseKind::Answer => {
-                        let body = ResponseBody::new(body, conn, self.clone(), slot).boxed();
+                        let body = ResponseBody::new(body, conn, self.clone()).boxed();
                         Ok(Response::from_parts(head, body))
                     }
                     ResponseKind::DidNotRun => {
                         // Dropping the unread body closes the connection unless the body is already
                         // complete.
-                        drop(ResponseBody::new(body, conn, self.clone(), slot));
+                        drop(ResponseBody::new(body, conn, self.clone()));
                         let proof = NotExecuted::refused_by_peer();
                         let reason = RefusalReason::RefusedByServer;
                         Err(CallFailure::did_not_run(reason, proof))
@@ -321,6 +323,9 @@
                     }
                 };
             }
+            Ok(Err(error)) if error.error().is_parse() || conn.is_head_too_long() => {
+                RefusalReason::SpoiledAnswer
+            }
             Ok(Err(_)) => RefusalReason::ConnectionLost,
             Err(_) => RefusalReason::Deadline,
         };
--- a/trefoillock-backend/src/response_body.rs
+++ b/trefoillock-backend/src/response_body.rs
@@ -11,28 +11,23 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::{Body, BodyError, LocalServer, connection::Connection, slots::Slot};
+use crate::{Body, BodyError, LocalServer, connection::Connection};
 
-/// A body that keeps the connection and the slot of its call.
+/// A body that keeps the connection of its call, which keeps the slot.
 ///
 /// When the body is complete, the connection becomes idle. If the body is dropped earlier, or
 /// fails, the connection is closed.
 pub(crate) struct ResponseBody {
     inner: Incoming,
-    in_use: Option<(Connection, Slot)>,
+    conn: Option<Connection>,
     server: Arc<LocalServer>,
 }
 
 impl ResponseBody {
-    pub(crate) fn new(
-        inner: Incoming,
-        conn: Connection,
-        server: Arc<LocalServer>,
-        slot: Slot,
-    ) -> Self {
+    pub(crate) fn new(inner: Incoming, conn: Connection, server: Arc<LocalServer>) -> Self {
         let mut body = Self {
             inner,
-            in_use: Some((conn, slot)),
+            conn: Some(conn),
             server,
         };
         if body.inner.is_end_stream() {
@@ -48,7 +43,9 @@
     /// Makes the connection idle before it releases the slot, so that the next admitted call can
     /// reuse the connection.
     fn finish(&mut self) {
-        if let Some((conn, mut slot)) = self.in_use.take() {
+        if let Some(conn) = self.conn.take()
+            && let Some(mut slot) = conn.end_call()
+        {
             self.server.put_idle(conn);
             slot.finish();
         }
@@ -70,7 +67,7 @@
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(error))) => {
-                self.in_use = None;
+                self.conn = None;
                 Poll::Ready(Some(Err(BodyError::Cut(error.to_string()))))
             }
             Poll::Ready(Some(Ok(frame))) => {
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -6,7 +6,8 @@
 use http_body_util::BodyExt;
 use tokio::time::Instant;
 use trefoillock_backend::{
-    Body, CallFailure, CallLimits, Crash, DeadlineBody, Execution, LocalServer, NotExecuted,
+    Body, BodyError, CallFailure, CallLimits, Crash, DeadlineBody, Execution, LocalServer,
+    NotExecuted,
 };
 use trefoillock_core::{CrashReport, RefusalReason, RouteClass, ServerId};
 
@@ -98,10 +99,15 @@
             strip_hop_by_hop(resp.headers_mut());
             strip_internal(resp.headers_mut());
             resp.extensions_mut().insert(ServerReport::from(&*server));
-            let on_cut = move || watch_crash(cx, server, report);
+            let on_failure = move |error: &BodyError| {
+                log_broken_body(&cx, &id, &delivery, error, arrived);
+                if matches!(error, BodyError::Cut(_)) {
+                    watch_crash(cx, server, report);
+                }
+            };
             Ok(resp.map(|body| {
                 let body = DeadlineBody::new(body, limits.deadline).boxed_unsync();
-                WatchedBody::new(body, on_cut).boxed_unsync()
+                WatchedBody::new(body, on_failure).boxed_unsync()
             }))
         }
         Err(failure) => {
@@ -154,6 +160,29 @@
     });
 }
 
+/// Logs a response whose body was broken off after its head had been forwarded.
+fn log_broken_body(
+    cx: &NodeContext,
+    id: &str,
+    delivery: &Delivery,
+    error: &BodyError,
+    arrived: Instant,
+) {
+    let reason = match error {
+        BodyError::Deadline => RefusalReason::Deadline,
+        BodyError::Cut(_) => RefusalReason::ConnectionLost,
+    };
+    cx.call_log().write(cx.clock().now(), CallLine::Broken, || {
+        vec![
+            ("request", id.to_owned()),
+            ("server", format!("{}@{}", cx.node(), delivery.address)),
+            ("reason", reason.as_str().to_owned()),
+            ("millis", arrived.elapsed().as_millis().to_string()),
+            ("part", "body".to_owned()),
+        ]
+    });
+}
+
 /// Checks in the background whether a backend server that ended a response early has crashed.
 fn watch_crash(cx: Arc<NodeContext>, server: Arc<LocalServer>, report: CrashReport) {
     let tasks = cx.tasks().clone();
--- a/trefoillock-node/src/watched_body.rs
+++ b/trefoillock-node/src/watched_body.rs
@@ -1,4 +1,4 @@
-//! Bodies that report when they are cut off.
+//! Bodies that report when they fail.
 
 use std::{
     pin::Pin,
@@ -9,22 +9,22 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use trefoillock_backend::{Body, BodyError};
 
-/// A body that calls `on_cut` once if it fails with [`BodyError::Cut`].
+/// A body that calls `on_failure` once if it fails.
 pub(crate) struct WatchedBody<F> {
     inner: Body,
-    on_cut: Option<F>,
+    on_failure: Option<F>,
 }
 
-impl<F: FnOnce()> WatchedBody<F> {
-    pub(crate) const fn new(inner: Body, on_cut: F) -> Self {
+impl<F: FnOnce(&BodyError)> WatchedBody<F> {
+    pub(crate) const fn new(inner: Body, on_failure: F) -> Self {
         Self {
             inner,
-            on_cut: Some(on_cut),
+            on_failure: Some(on_failure),
         }
     }
 }
 
-impl<F: FnOnce() + Unpin> HttpBody for WatchedBody<F> {
+impl<F: FnOnce(&BodyError) + Unpin> HttpBody for WatchedBody<F> {
     type Data = Bytes;
     type Error = BodyError;
 
@@ -33,10 +33,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let polled = Pin::new(&mut self.inner).poll_frame(cx);
-        if let Poll::Ready(Some(Err(BodyError::Cut(_)))) = &polled
-            && let Some(on_cut) = self.on_cut.take()
+        if let Poll::Ready(Some(Err(error))) = &polled
+            && let Some(on_failure) = self.on_failure.take()
         {
-            on_cut();
+            on_failure(error);
         }
         polled
     }
