fix(roles,control): acknowledge a document when it is in force, not after 0.7 s

Cause: the acknowledgement waited for all nodes, but 0.7 s at most, and reports of what a node serves took up to 0.4 s at each relay.

Relays now pass on at once that a node serves another version, and the acknowledgement waits until all known nodes do, for at most 2.2 s since the acceptance. E1407 tells for each acknowledgement whether the version was in force, and which nodes lag: the log could not tell it before.

Ruled out: answering 503 meanwhile; the order is accepted, and a refusal of it would not be true.

--- a/trefoillock-control/src/distributor.rs
+++ b/trefoillock-control/src/distributor.rs
@@ -288,6 +288,12 @@
         summary
     }
 
+    /// Returns the versions that one child and the nodes below it serve.
+    #[must_use]
+    pub fn acks_of(&self, key: ChildKey) -> Option<&AckSummary> {
+        self.children.get(&key).map(Child::acks)
+    }
+
     /// Returns the records of the children and of all nodes below them.
     pub fn records(&self) -> impl Iterator<Item = &NodeRecord> {
         self.children.values().flat_map(Child::records)
--- a/trefoillock-control/src/node_machine/relay.rs
+++ b/trefoillock-control/src/node_machine/relay.rs
@@ -19,6 +19,7 @@
     pub fn on_child_message(&mut self, now: Timestamp, key: ChildKey, message: &UpMessage) {
         let next_round = self.round + 1;
         let is_known = self.distributor.contains(key);
+        let acks_before = self.distributor.acks_of(key).cloned();
         match message {
             UpMessage::Hello(hello) => {
                 if !is_known && let Err(rejection) = self.admit(now, hello) {
@@ -40,6 +41,7 @@
             }
             UpMessage::Report(_) => self.effects.push(NodeEffect::CloseChild(key)),
         }
+        self.needs_early_report |= self.distributor.acks_of(key) != acks_before.as_ref();
         self.send_due_report(now);
     }
 
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -111,6 +111,9 @@
     RolloutOrdered = 1405, "rollout-ordered", Info;
     /// A rollout took a step; fields: rollout, service, step, state, share, evidence.
     RolloutStepped = 1406, "rollout-stepped", Info;
+    /// The acknowledgement of a numbered document was sent; fields: revision, version, in-force: whether
+    /// every known node served it by then, millis waited, lagging nodes, lost nodes.
+    DocumentAcknowledged = 1407, "document-acknowledged", Info;
     /// A move has started; fields: move, route, from, to, deadline.
     MoveStarted = 1501, "move-started", Info;
     /// A move took a step; fields: move, step, state, share, evidence.
@@ -144,6 +147,6 @@
     /// millis, rank, running, queued, slots, pause, limit if there is one, omitted.
     CallRefused = 1804, "call-refused", Warn;
     /// A call was sent to a local backend server and not answered in full; fields: request,
-    /// server, reason, millis, omitted.
+    /// server, reason, millis, part: body if the head had arrived, omitted.
     CallBroken = 1805, "call-broken", Warn;
 }
--- a/trefoillock-roles/src/control_role.rs
+++ b/trefoillock-roles/src/control_role.rs
@@ -5,6 +5,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use tokio::sync::watch;
@@ -18,6 +19,7 @@
 use crate::{
     data_folder::{SYSTEM_NAME, replica_settings},
     guard_driver::GuardDriver,
+    in_force_gate::InForceGate,
     leader_driver::{LeaderChannels, LeaderDriver},
     leadership::{self, Leadership},
     operator_service::OperatorApi,
@@ -25,6 +27,10 @@
     shared_store::SharedStore,
 };
 
+/// The longest time after its acceptance for which the acknowledgement of a document waits until all
+/// nodes serve it. A node that was lost without notice is no longer counted by then.
+const IN_FORCE_LIMIT: Duration = Duration::from_millis(2_200);
+
 /// A running control replica.
 pub(crate) struct ControlRole {
     replica: ReplicaHandle,
@@ -95,6 +101,7 @@
             store: store.clone(),
             members: outputs.members.clone(),
             fleet: outputs.fleet.clone(),
+            in_force_gate: Arc::new(InForceGate::new(outputs.fleet.clone(), IN_FORCE_LIMIT)),
             burn_meter: burn_meter.clone(),
             membership_manager: membership_manager.map(|(manager, _)| manager),
         };
--- a/trefoillock-roles/src/lib.rs
+++ b/trefoillock-roles/src/lib.rs
@@ -12,6 +12,7 @@
 mod event_log;
 mod external_protocol;
 mod guard_driver;
+mod in_force_gate;
 mod leader_driver;
 mod leadership;
 mod metrics;
--- a/trefoillock-roles/src/operator_service.rs
+++ b/trefoillock-roles/src/operator_service.rs
@@ -9,7 +9,7 @@
 };
 
 use futures::{FutureExt, future::BoxFuture};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 use trefoillock_control::FleetStatus;
 use trefoillock_core::{
     ConfigVersion, Edit, EditAnswer, Members, Move, MoveId, RawTables, Rollout, ServiceName,
@@ -27,7 +27,11 @@
 };
 use trefoillock_store::{Command, CommandAnswer, ConfigDocument, ReplaceAnswer, TablesReplacement};
 
-use crate::{process_context::ProcessContext, shared_store::SharedStore};
+use crate::{
+    in_force_gate::{InForce, InForceGate},
+    process_context::ProcessContext,
+    shared_store::SharedStore,
+};
 
 /// The implementation of [`OperatorService`] on a control replica.
 pub(crate) struct OperatorApi {
@@ -36,14 +40,11 @@
     pub(crate) store: SharedStore,
     pub(crate) members: watch::Receiver<Arc<Members>>,
     pub(crate) fleet: watch::Receiver<FleetStatus>,
+    pub(crate) in_force_gate: Arc<InForceGate>,
     pub(crate) burn_meter: Arc<Mutex<BurnMeter>>,
     pub(crate) membership_manager: Option<MembershipManager>,
 }
 
-/// The longest time for which the acknowledgement of a document waits until all nodes serve it.
-/// Operators expect an answer within a second.
-const IN_FORCE_TIMEOUT: Duration = Duration::from_millis(700);
-
 type Reply<'a, T> = BoxFuture<'a, Result<T, ApiError>>;
 
 impl OperatorApi {
@@ -146,12 +147,28 @@
         }
     }
 
-    /// Waits until all nodes serve a version, but no longer than [`IN_FORCE_TIMEOUT`].
-    async fn wait_until_in_force(&self, version: ConfigVersion) {
-        let mut fleet = self.fleet.clone();
-        let in_force = fleet.wait_for(|status| status.is_in_force(version));
-        // Unreachable nodes receive the version when they reconnect.
-        let _ = tokio::time::timeout(IN_FORCE_TIMEOUT, in_force).await;
+    /// Waits until all nodes serve a version, for a limited time. Unreachable nodes receive it when they
+    /// reconnect.
+    async fn wait_until_in_force(&self, revision: u64, version: ConfigVersion) {
+        let start = Instant::now();
+        let in_force = self.in_force_gate.wait(start, version).await;
+        let millis = start.elapsed().as_millis();
+        let fleet = self.fleet.borrow().clone();
+        let lagging = fleet.lagging.iter().map(|(_, node)| node.as_str());
+        let lagging: Vec<&str> = lagging.collect();
+        let lost = fleet.lost_count;
+        let (in_force, lagging) = (in_force == InForce::Everywhere, lagging.join(" "));
+        let fields: [(&str, &dyn std::fmt::Display); 6] = [
+            ("revision", &revision),
+            ("version", &version),
+            ("in-force", &in_force),
+            ("millis", &millis),
+            ("lagging", &lagging),
+            ("lost", &lost),
+        ];
+        self.context
+            .events
+            .write(Event::DocumentAcknowledged, &fields);
     }
 
     fn log_rollout_order(
@@ -286,7 +303,7 @@
                 CommandAnswer::Replace(answer) => {
                     self.log_replacement(revision, answer);
                     if let ReplaceAnswer::Accepted(version) = answer {
-                        self.wait_until_in_force(version).await;
+                        self.wait_until_in_force(revision, version).await;
                     }
                     Ok(answer)
                 }
