--- a/trefoillock-replica/tests/fault_matrix.rs
+++ b/trefoillock-replica/tests/fault_matrix.rs
@@ -265,3 +265,31 @@
         simulation.heal_and_check();
     }
 }
+
+/// Guards against the loss of an acknowledged change at the end of a day, when two of five disks are
+/// lost and every other machine loses power at the same moment.
+#[test]
+fn an_acknowledged_change_survives_two_lost_disks_while_all_others_lose_power() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed, 5);
+        simulation.run(Duration::from_secs(5));
+        let leader = simulation.leader().expect("a leader");
+        simulation.propose(leader);
+        // Up to 0.4 s after the change was sent: it is being written, or has just been acknowledged.
+        for _ in 0..simulation.random(0..20) {
+            simulation.advance_tick();
+        }
+        let ids = simulation.ids();
+        let count = u64::try_from(ids.len()).expect("few replicas");
+        let first = simulation.random(0..count);
+        let second = (first + simulation.random(1..count)) % count;
+        for (id, at) in ids.into_iter().zip(0..count) {
+            if at == first || at == second {
+                simulation.inject(id, Fault::BlankDisk);
+            } else {
+                simulation.inject(id, Fault::Crash);
+            }
+        }
+        simulation.heal_and_check();
+    }
+}
