fix(caller,process): name the limit that made the entry refuse a call

Traced: the test asks for the cause of the first refused request of a burst. If a later one of the burst arrives first, the entry knows the limit by then and refuses the first itself; its line 1802 named no server and no limit, so trefoilctl explain could not either.

The line now names the server whose turn would come first, and its limit (limited-by, limit), and the cause is the same sentence as for a refusal by the destination.

--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -19,6 +19,7 @@
     replayable_request::ReplayableRequest,
     responses::refusal,
     route_state::RouteState,
+    server_attempts::LimitedServer,
 };
 
 /// The attempts of one call, with the combined failure of those that have ended.
@@ -59,6 +60,7 @@
     ) -> Result<Response<Body>, CallFailure> {
         loop {
             if let Some(wait) = self.refusal_wait() {
+                self.record_limited_server();
                 let limited = refusal(RefusalReason::RateLimited).with_retry_after(Some(wait));
                 return Err(combine(self.failure.take(), limited));
             }
@@ -105,6 +107,20 @@
         self.pool.refusal_wait(now, lane(&self.call), &self.tried)
     }
 
+    /// Records for the log which limit ended the call.
+    fn record_limited_server(&self) {
+        let now = self.cx.clock().now();
+        let next = self.pool.next_with_room(now, lane(&self.call), &self.tried);
+        if let Some(member) = next
+            && let Some(known) = self.cx.view().known_limit(&member)
+        {
+            self.call.server_attempts.record_limited(LimitedServer {
+                server: member.id.clone(),
+                limit: known.rate,
+            });
+        }
+    }
+
     /// Chooses a backend server that was not tried, and counts the start of an attempt.
     fn start_attempt(&mut self) -> Option<AttemptTracker> {
         let now = self.cx.clock().now();
--- a/trefoillock-caller/src/pool_state.rs
+++ b/trefoillock-caller/src/pool_state.rs
@@ -55,6 +55,18 @@
         self.lock().balancer.refusal_wait(now, lane, exclude)
     }
 
+    /// The backend server that would take a call of this lane first, of those that would not take it now.
+    pub(crate) fn next_with_room(
+        &self,
+        now: Timestamp,
+        lane: Lane,
+        exclude: &[ServerId],
+    ) -> Option<Arc<Member>> {
+        let state = self.lock();
+        let id = state.balancer.next_with_room(now, lane, exclude)?;
+        state.members.iter().find(|m| m.id == *id).cloned()
+    }
+
     /// Chooses a backend server that is not in `exclude`, and counts the start of an attempt.
     /// `None` if there is none.
     pub(crate) fn start_attempt(
--- a/trefoillock-caller/src/responses.rs
+++ b/trefoillock-caller/src/responses.rs
@@ -72,7 +72,8 @@
     cx.call_log().write(cx.clock().now(), CallLine::Failed, || {
         let members = cx.view().members().version;
         let attempts = call.server_attempts();
-        vec![
+        let limited = attempts.limited();
+        let mut fields = vec![
             ("request", call.id.clone()),
             ("route", call.route.name.to_string()),
             ("outcome", failure.outcome().as_str().to_owned()),
@@ -82,7 +83,12 @@
             ("millis", call.arrived.elapsed().as_millis().to_string()),
             ("config", config_version(cx)),
             ("members", format!("{}.{}", members.term, members.sequence)),
-        ]
+        ];
+        if let Some(limited) = limited {
+            fields.push(("limited-by", limited.server.to_string()));
+            fields.push(("limit", limited.limit.to_string()));
+        }
+        fields
     });
 }
 
--- a/trefoillock-caller/src/server_attempts.rs
+++ b/trefoillock-caller/src/server_attempts.rs
@@ -2,16 +2,30 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use trefoillock_core::ServerId;
+use trefoillock_core::{CallRate, ServerId};
 
-/// The number of attempts of a call, and the backend server of the last one.
+/// A backend server that a call was not sent to because of its limit on the rate of calls.
+#[derive(Debug, Clone)]
+pub(crate) struct LimitedServer {
+    pub(crate) server: ServerId,
+    pub(crate) limit: CallRate,
+}
+
+/// The number of attempts of a call, the backend server of the last one, and the one whose limit ended
+/// the call.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct ServerAttempts {
     count: u32,
     last: Option<ServerId>,
+    limited: Option<LimitedServer>,
 }
 
 impl ServerAttempts {
+    /// The backend server whose limit on the rate of calls ended the call before an attempt.
+    pub(crate) const fn limited(&self) -> Option<&LimitedServer> {
+        self.limited.as_ref()
+    }
+
     pub(crate) const fn count(&self) -> u32 {
         self.count
     }
@@ -40,6 +54,11 @@
         attempts.last = Some(server.clone());
     }
 
+    /// Records that the call is not sent because of the limit of a backend server.
+    pub(crate) fn record_limited(&self, limited: LimitedServer) {
+        self.lock().limited = Some(limited);
+    }
+
     pub(crate) fn snapshot(&self) -> ServerAttempts {
         self.lock().clone()
     }
--- a/trefoillock-policy/src/balancer.rs
+++ b/trefoillock-policy/src/balancer.rs
@@ -168,6 +168,21 @@
         shortest
     }
 
+    /// The server that would take a call of this lane first, of those that would not take it now because
+    /// of their limits on the rate.
+    #[must_use]
+    pub fn next_with_room(
+        &self,
+        now: Timestamp,
+        lane: Lane,
+        exclude: &[ServerId],
+    ) -> Option<&ServerId> {
+        let candidates = self.servers.iter().filter(|s| !exclude.contains(&s.id));
+        let refusing =
+            candidates.filter_map(|server| Some((server.refusal_wait(now, lane)?, &server.id)));
+        refusing.min().map(|(_, id)| id)
+    }
+
     /// Counts the start of a call to a server.
     pub fn record_start(&mut self, now: Timestamp, id: &ServerId) {
         if let Some(server) = self.server_mut(id) {
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -137,7 +137,8 @@
     /// A call was retried; fields: request, route, server, reason, attempts, millis.
     CallRetried = 1801, "call-retried", Info;
     /// A call ended without an answer from a backend server; fields: request, route, outcome,
-    /// reason, server, attempts, millis, config, members, omitted.
+    /// reason, server, attempts, millis, config, members, limited-by and limit if a limit on the rate ended
+    /// it, omitted.
     CallFailed = 1802, "call-failed", Warn;
     /// A call was answered by a backend server; fields: request, route, server, version, status,
     /// attempts, millis, config, omitted. Server errors have a higher rate limit than other
--- a/trefoillock-process/src/explanation.rs
+++ b/trefoillock-process/src/explanation.rs
@@ -337,14 +337,22 @@
             ),
             None => "refused under overload".to_owned(),
         },
-        (_, "rate-limited") => match refused.map(|step| step.line) {
-            Some(line) => format!(
-                "refused because {} takes {} calls a second and no turn came in time",
-                line.text("server"),
-                line.text("limit")
-            ),
-            None => "refused because of a limit on the rate of calls".to_owned(),
-        },
+        (_, "rate-limited") => {
+            // The entry refuses a call itself if it knows that no server has a turn for it.
+            let limit = match refused.map(|step| step.line) {
+                Some(refused) => Some((refused.text("server"), refused.text("limit"))),
+                None if !line.text("limited-by").is_empty() => {
+                    Some((line.text("limited-by"), line.text("limit")))
+                }
+                None => None,
+            };
+            match limit {
+                Some((server, limit)) => format!(
+                    "refused because {server} takes {limit} calls a second and no turn came in time"
+                ),
+                None => "refused because of a limit on the rate of calls".to_owned(),
+            }
+        }
         (_, "no-route") => format!("no route in configuration {}", line.text("config")),
         (_, reason) => match find_restart(node, line, lines) {
             Some(start) => format!(
