--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -114,6 +114,8 @@
     /// The acknowledgement of a numbered document was sent; fields: revision, version, in-force: whether
     /// every known node served it by then, millis waited, lagging nodes, lost nodes.
     DocumentAcknowledged = 1407, "document-acknowledged", Info;
+    /// A numbered document was read by an operator; fields: revision, term in which this replica leads.
+    DocumentRead = 1408, "document-read", Info;
     /// A move has started; fields: move, route, from, to, deadline.
     MoveStarted = 1501, "move-started", Info;
     /// A move took a step; fields: move, step, state, share, evidence.
--- a/trefoillock-roles/src/operator_service.rs
+++ b/trefoillock-roles/src/operator_service.rs
@@ -316,7 +316,14 @@
     fn document(&self) -> Reply<'_, Option<ConfigDocument>> {
         async {
             self.wait_until_current().await?;
-            Ok(self.store.lock().document().cloned())
+            let document = self.store.lock().document().cloned();
+            if let Some(document) = &document {
+                let term = self.replica.status().borrow().term;
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("revision", &document.revision), ("term", &term)];
+                self.context.events.write(Event::DocumentRead, &fields);
+            }
+            Ok(document)
         }
         .boxed()
     }
