--- a/trefoillock-core/src/rollout.rs
+++ b/trefoillock-core/src/rollout.rs
@@ -57,7 +57,7 @@
     pub progress: RolloutProgress,
 }
 
-/// How far a rollout has come, as the leader records it about once a second for later leaders.
+/// How far a rollout has come, as the leader records it regularly for later leaders.
 #[data]
 #[derive(Default)]
 pub struct RolloutProgress {
--- a/trefoillock-replica/src/replica.rs
+++ b/trefoillock-replica/src/replica.rs
@@ -312,6 +312,13 @@
         }
     }
 
+    /// Notes that the unsynced batches hold no entries after `last` any more.
+    fn limit_unsynced(&mut self, last: LogIndex) {
+        for batch in &mut self.in_flight {
+            batch.last = batch.last.min(last);
+        }
+    }
+
     const fn now(&self) -> Timestamp {
         self.clock.now()
     }
--- a/trefoillock-replica/src/replica/append.rs
+++ b/trefoillock-replica/src/replica/append.rs
@@ -113,9 +113,7 @@
         self.memberships.retain(|(at, _)| *at < index);
         let last = self.log.last().index;
         self.persisted = self.persisted.min(last);
-        for batch in &mut self.in_flight {
-            batch.last = batch.last.min(last);
-        }
+        self.limit_unsynced(last);
     }
 
     pub(super) fn push_entry(&mut self, entry: Entry) {
--- a/trefoillock-replica/src/replica/snapshot.rs
+++ b/trefoillock-replica/src/replica/snapshot.rs
@@ -150,9 +150,7 @@
         // Entries after the snapshot count as synced only once the snapshot and the new log are.
         let last = self.log.last().index;
         self.persisted = self.persisted.min(position.index);
-        for batch in &mut self.in_flight {
-            batch.last = batch.last.min(last);
-        }
+        self.limit_unsynced(last);
         self.commit = self.commit.max(position.index);
         self.applied = position.index;
         self.snapshot = Arc::new(snapshot);
