--- a/trefoillock-moves/src/rollout_controller.rs
+++ b/trefoillock-moves/src/rollout_controller.rs
@@ -72,7 +72,7 @@
             .collect()
     }
 
-    /// Returns the progress of the rollouts whose last record is [`PROGRESS_INTERVAL`] old.
+    /// Returns the progress of the rollouts whose last record is old enough for another one.
     #[must_use]
     pub fn due_progress(
         &self,
