test(stand-ins): bound the bytes of a head without end, list a failure seen once

The test of heads without end did not check that what is read is bounded; it does now, at the bound that bodies have, and passes. In the same run a_body_without_end_is_broken_off_in_time, unchanged, failed for the first time: a posting whose chunk extension has no end ended as a closed connection without an answer.

--- a/trefoillock-stand-ins/tests/endless_answers.rs
+++ b/trefoillock-stand-ins/tests/endless_answers.rs
@@ -273,6 +273,9 @@
         }
         let closed = timeout(HANG_GUARD, server.closed.recv()).await;
         let closed = closed.expect("the connection is closed").expect("a call");
+        let written = server.written.load(Ordering::Relaxed);
+        let is_bounded = answer.has_head || written <= MAX_BUFFERED_BYTES;
+        assert!(is_bounded, "{case}: {written} bytes without a head");
         let open = closed.duration_since(sent_at);
         assert!(
             open <= ROUTE_TIMEOUT + END_LIMIT,
