fix(node): send what is ready before a response fails

Cause: the entry's HTTP server drops what it has buffered when a body fails, and it flushes its buffer only when a body has no frame ready. A body that fails in the poll in which the head or its last frames were buffered takes them with it: the caller of a posting got a closed connection without a byte (a_body_without_end_is_broken_off_in_time), and bytes that had arrived from the backend server were lost before a cut. Ruled out: the destination, which is served the same way but by HTTP/2, and a reset of the socket (lingering_stream.rs covers that).

Change: FlushedBody holds a failure back for one poll unless the server has flushed since the last frame.

--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -11,6 +11,7 @@
 };
 
 use http::{HeaderValue, Request, Response, Version, header};
+use http_body_util::BodyExt;
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -26,6 +27,7 @@
 use trefoillock_backend::Body;
 
 use crate::{
+    flushed_body::FlushedBody,
     in_flight::InFlightRequest,
     lingering_stream::{LingeringStream, StreamActivity},
     listener_close::{HANDSHAKE_TIME, close_listener, hold_off_connections},
@@ -149,7 +151,10 @@
             let answer = handler(req);
             let stop = stop.clone();
             async move {
-                let mut resp = answer.await.map(|body| request.until_body_ends(body));
+                let mut resp = answer.await.map(|body| {
+                    let body = FlushedBody::new(body).boxed_unsync();
+                    request.until_body_ends(body)
+                });
                 if !is_http_2 && stop.is_cancelled() {
                     let close = HeaderValue::from_static("close");
                     resp.headers_mut().insert(header::CONNECTION, close);
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod delivery;
 mod destination;
 mod detached_body;
+mod flushed_body;
 mod guard_client;
 mod guards;
 mod headers;
