fix(replica,roles): let a replica that was cut off return after its removal

Cause: once a replacement votes, the leader removes the first lost voter by identity, and silence does not tell a voter that is cut off from one that is gone. The removed one was told so when it returned, deleted its files and ended with code 1. A second fault, found by reading: a learner from which no message had arrived yet counted as silent since the leader was elected.

Ruled out: waiting until only one voter is silent. Until the surplus voter is removed, one loss more stops changes, whichever of the silent ones goes; so the choice costs no availability, the return did.

Change: of several lost voters goes first one whose machine runs another replica, then one that announced its stop, then the one that is silent for longest. A stopping replica announces it to the members. A removed replica that still has the disk it was removed with is added again under its identity (MembershipChange::Readmit), keeps its process and its log. A learner that still asks to join is kept. Each automatic change is one line E1603 with its reason.

tests/simulation/replacements.rs plays pairs of cuts, restarts, losses and planned losses at followers and the leader, new replicas before and after them. With the decision as it was all three tests fail; with the new order and no return all three fail; with the return and the old order they pass, so the order only spares removals (succession.rs checks it).

--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -130,7 +130,7 @@
     LeaderElected = 1601, "leader-elected", Info;
     /// The replica is no longer leader; fields: term, reason.
     LeaderLost = 1602, "leader-lost", Warn;
-    /// A replica was added, promoted or removed; fields: change, replica.
+    /// A replica was added, promoted, removed or readmitted; fields: change, and replica and reason if no operator ordered it.
     ReplicaChanged = 1603, "replica-changed", Info;
     /// The guards of idempotency keys changed; fields: slots.
     GuardsChanged = 1701, "guards-changed", Info;
--- a/trefoillock-replica/src/handle.rs
+++ b/trefoillock-replica/src/handle.rs
@@ -16,8 +16,9 @@
 use trefoillock_rpc::{RpcServer, TrafficCounter};
 
 use crate::{
-    ChangeError, DataFolder, Envelope, Membership, MembershipChange, ProposeError, ReadError,
-    Replica, ReplicaIdentity, ReplicaSettings, ReplicaStatus, StateMachine,
+    ChangeError, DataFolder, DiskId, Envelope, JoinCandidate, Membership, MembershipChange,
+    ProposeError, ReadError, Replica, ReplicaIdentity, ReplicaSettings, ReplicaStatus,
+    StateMachine,
     disk_thread::DiskThread,
     driver::{Command, Driver, Inputs},
     monotonic_clock::MonotonicClock,
@@ -41,6 +42,7 @@
     lease: watch::Receiver<Option<BootInstant>>,
     traffic: Arc<TrafficCounter>,
     last_heard: Arc<Mutex<BTreeMap<ReplicaId, Instant>>>,
+    disk_id: DiskId,
     stop: CancellationToken,
 }
 
@@ -96,6 +98,7 @@
             rng,
             clock.now(),
         );
+        let disk_id = replica.identity().disk;
         let (commands, commands_rx) = mpsc::channel(QUEUED_COMMANDS);
         let (inbox, inbox_rx) = mpsc::channel(QUEUED_MESSAGES);
         let (synced, synced_rx) = mpsc::unbounded_channel();
@@ -135,6 +138,7 @@
             lease: lease_rx,
             traffic,
             last_heard,
+            disk_id,
             stop,
         })
     }
@@ -204,6 +208,21 @@
         self.change(MembershipChange::Remove { id }).await
     }
 
+    /// Adds a removed replica that has kept its disk again, as a learner.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the change was refused or is not known to be committed.
+    pub async fn readmit(
+        &self,
+        id: ReplicaId,
+        address: SocketAddr,
+        disk: DiskId,
+    ) -> Result<(), ChangeError> {
+        self.change(MembershipChange::Readmit { id, address, disk })
+            .await
+    }
+
     async fn change(&self, change: MembershipChange) -> Result<(), ChangeError> {
         let (tx, rx) = oneshot::channel();
         let command = Command::Change(change, tx);
@@ -212,6 +231,16 @@
         rx.await?
     }
 
+    /// Returns the request of this replica to join the membership.
+    #[must_use]
+    pub fn join_candidate(&self) -> JoinCandidate {
+        JoinCandidate {
+            id: self.settings.id,
+            address: self.settings.address,
+            disk: Some(self.disk_id),
+        }
+    }
+
     /// Returns a receiver of the status of the replica, which is updated on each change.
     #[must_use]
     pub fn status(&self) -> watch::Receiver<ReplicaStatus> {
--- a/trefoillock-replica/src/lib.rs
+++ b/trefoillock-replica/src/lib.rs
@@ -42,7 +42,9 @@
     ChangeError, DiskId, MAX_VOTERS, MemberRole, Membership, MembershipChange, ReplicaMember,
 };
 pub use membership_manager::MembershipManager;
-pub use membership_policy::{JoinCandidate, next_membership_change};
+pub use membership_policy::{
+    ChangeReason, DueChange, JoinCandidate, MemberContact, next_membership_change,
+};
 pub use message::{Append, AppendOutcome, Chunk, Envelope, Message, Refusal, ReplicaIdentity};
 pub use payload::Payload;
 pub use replica::{ProposeRefusal, RecoveredState, Replica, ReplicaRole};
--- a/trefoillock-replica/src/membership.rs
+++ b/trefoillock-replica/src/membership.rs
@@ -59,6 +59,9 @@
 pub struct Membership {
     members: BTreeMap<ReplicaId, ReplicaMember>,
     removed: BTreeSet<ReplicaId>,
+    /// The disks of removed replicas, so that a replica that still has its disk may return.
+    #[serde(default)]
+    removed_disks: BTreeMap<ReplicaId, DiskId>,
 }
 
 /// A change of one member.
@@ -76,11 +79,20 @@
         /// The learner.
         id: ReplicaId,
     },
-    /// Removes a replica permanently.
+    /// Removes a replica. It can return only by [`MembershipChange::Readmit`].
     Remove {
         /// The replica.
         id: ReplicaId,
     },
+    /// Adds a removed replica again that has kept its disk. It receives the log but does not vote.
+    Readmit {
+        /// The identity under which the replica was removed.
+        id: ReplicaId,
+        /// The address of the replica.
+        address: SocketAddr,
+        /// The disk of the replica, which must be the one that it was removed with.
+        disk: DiskId,
+    },
 }
 
 /// The reason why a membership change did not take effect or is not known to have done so.
@@ -127,6 +139,7 @@
         Self {
             members: members.collect(),
             removed: BTreeSet::new(),
+            removed_disks: BTreeMap::new(),
         }
     }
 
@@ -173,6 +186,15 @@
         self.removed.contains(&id)
     }
 
+    /// Returns whether a removed replica may be added again because it has kept its disk.
+    ///
+    /// Votes and entries that it acknowledged before its removal are still on that disk, so they
+    /// hold on. A blank disk could break them.
+    #[must_use]
+    pub fn may_readmit(&self, id: ReplicaId, disk: DiskId) -> bool {
+        self.removed_disks.get(&id) == Some(&disk)
+    }
+
     /// Returns the number of voters that form a quorum, which is a majority.
     #[must_use]
     pub fn quorum(&self) -> usize {
@@ -202,6 +224,7 @@
             MembershipChange::AddLearner { id, address } => next.add_learner(id, address)?,
             MembershipChange::Promote { id } => next.promote(id)?,
             MembershipChange::Remove { id } => next.remove(id)?,
+            MembershipChange::Readmit { id, address, disk } => next.readmit(id, address, disk)?,
         }
         Ok(next)
     }
@@ -253,8 +276,32 @@
         if self.is_voter(id) && self.voters().count() == 1 {
             return Err(ChangeError::LastVoter(id));
         }
-        self.members.remove(&id);
+        let disk = self.members.remove(&id).and_then(|member| member.disk);
         self.removed.insert(id);
+        self.removed_disks.extend(disk.map(|disk| (id, disk)));
+        Ok(())
+    }
+
+    fn readmit(
+        &mut self,
+        id: ReplicaId,
+        address: SocketAddr,
+        disk: DiskId,
+    ) -> Result<(), ChangeError> {
+        if self.members.contains_key(&id) {
+            return Err(ChangeError::AlreadyMember(id));
+        }
+        if !self.may_readmit(id, disk) {
+            return Err(ChangeError::IdentityUsed(id));
+        }
+        self.removed.remove(&id);
+        self.removed_disks.remove(&id);
+        let learner = ReplicaMember {
+            address,
+            role: MemberRole::Learner,
+            disk: Some(disk),
+        };
+        self.members.insert(id, learner);
         Ok(())
     }
 }
--- a/trefoillock-replica/src/replica/append.rs
+++ b/trefoillock-replica/src/replica/append.rs
@@ -6,7 +6,8 @@
 use trefoillock_core::{LogIndex, ReplicaId, Term};
 
 use crate::{
-    Append, AppendOutcome, Content, Effect, Entry, Message, Position, Replica, replica::Role,
+    Append, AppendOutcome, Content, Effect, Entry, Message, Position, Refusal, Replica,
+    replica::Role,
 };
 
 impl Replica {
@@ -50,6 +51,8 @@
             return false;
         }
         self.become_follower(term, Some(leader));
+        // A leader sends to members only, so a removed replica was added again.
+        self.refused.take_if(|refusal| *refusal == Refusal::Removed);
         self.leader_heard_at = self.now();
         self.promised_term = self.hard_state.term;
         true
--- a/trefoillock-replica/tests/simulation/mod.rs
+++ b/trefoillock-replica/tests/simulation/mod.rs
@@ -5,7 +5,9 @@
 mod disk;
 mod effects;
 mod faults;
+mod manager;
 mod operator;
+mod replacements;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,6 +18,7 @@
 use checks::{Checks, ProposalOutcome};
 use disk::Disk;
 pub(crate) use faults::{Fault, FaultInjection, STEPS};
+use manager::Contacts;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use trefoillock_core::{LogIndex, ReplicaId, Term, Timestamp};
@@ -66,6 +69,7 @@
     checks: Checks,
     commands: u64,
     initial_members: Membership,
+    contacts: Contacts,
     /// The fault to inject, if any.
     injection: Option<FaultInjection>,
     pub(crate) lossy: bool,
@@ -106,6 +110,7 @@
             checks: Checks::default(),
             commands: 0,
             initial_members: members.clone(),
+            contacts: Contacts::default(),
             injection: None,
             lossy: false,
             step_counts: BTreeMap::new(),
@@ -244,6 +249,7 @@
             self.network.insert(key, (from, to, message));
             return;
         }
+        self.contacts.record(self.now, from.id, to);
         self.input(to, |replica, now| replica.receive(now, from, message));
     }
 
--- a/trefoillock-roles/src/control_role.rs
+++ b/trefoillock-roles/src/control_role.rs
@@ -3,7 +3,6 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -12,12 +11,15 @@
 use trefoillock_control::{ControlAgent, ControlInputs, ControlState, LeadershipRole};
 use trefoillock_core::{Error, Peer, Step};
 use trefoillock_policy::BurnMeter;
-use trefoillock_process::{BootstrapMode, ControlSettings};
-use trefoillock_replica::{DataFolder, JoinCandidate, MembershipManager, Refusal, ReplicaHandle};
+use trefoillock_process::{BootstrapMode, ControlSettings, Event};
+use trefoillock_replica::{
+    DataFolder, DueChange, MembershipChange, MembershipManager, Refusal, ReplicaHandle,
+};
 use trefoillock_rpc::{RpcServer, TrafficCounter};
 
 use crate::{
     data_folder::{SYSTEM_NAME, replica_settings},
+    event_log::EventLog,
     guard_driver::GuardDriver,
     in_force_gate::InForceGate,
     leader_driver::{LeaderChannels, LeaderDriver},
@@ -34,6 +36,7 @@
 /// A running control replica.
 pub(crate) struct ControlRole {
     replica: ReplicaHandle,
+    membership_manager: Option<MembershipManager>,
     settings: ControlSettings,
 }
 
@@ -47,12 +50,8 @@
         let operators = context.listen(settings.operators).await?;
         let store = SharedStore::new();
         let log = replica_settings(&context.settings, settings)?;
-        let candidate = JoinCandidate {
-            id: log.id(),
-            address: settings.mesh,
-        };
         let replica = ReplicaHandle::start(log, Box::new(store.clone()), context.shutdown.clone())?;
-        let membership_manager = membership_manager(settings, &replica, candidate);
+        let membership_manager = membership_manager(context, settings, &replica);
 
         let config = store.subscribe_config().borrow().clone();
         let initial_state = ControlState {
@@ -71,19 +70,17 @@
         let traffic = Arc::new(TrafficCounter::new());
         let server = RpcServer::new(context.token.clone(), traffic.clone());
         let mut server = agent.add_rpc_handlers(replica.add_rpc_handlers(server));
-        if let Some((manager, seeds)) = &membership_manager {
+        if let (Some(manager), BootstrapMode::FromSeeds { seeds, .. }) =
+            (&membership_manager, &settings.bootstrap)
+        {
             server = manager.add_rpc_handlers(server);
-            context.tasks.spawn(
-                manager
-                    .clone()
-                    .maintain_membership(context.shutdown.clone()),
-            );
+            let events = context.events;
+            let on_change = move |due: &DueChange| write_membership_change(events, due);
+            let changes = manager.clone();
+            let changes = changes.maintain_membership(on_change, context.shutdown.clone());
+            context.tasks.spawn(changes);
             let join_task = manager.clone();
-            let join_task = join_task.request_membership(
-                seeds.clone(),
-                context.token.clone(),
-                context.shutdown.clone(),
-            );
+            let join_task = join_task.request_membership(seeds.clone(), context.shutdown.clone());
             context.tasks.spawn(join_task);
         }
         context.spawn_server("mesh", server.serve(mesh, context.shutdown.clone()));
@@ -103,7 +100,7 @@
             fleet: outputs.fleet.clone(),
             in_force_gate: Arc::new(InForceGate::new(outputs.fleet.clone(), IN_FORCE_LIMIT)),
             burn_meter: burn_meter.clone(),
-            membership_manager: membership_manager.map(|(manager, _)| manager),
+            membership_manager: membership_manager.clone(),
         };
         let operator_server =
             context
@@ -127,13 +124,27 @@
         context.tasks.spawn(driver.run(channels));
         Ok(Self {
             replica,
+            membership_manager,
             settings: settings.clone(),
         })
     }
 
-    /// Waits until the replica fails and returns the failure. With [`BootstrapMode::FromSeeds`],
-    /// being refused by the other replicas counts as a failure too.
+    /// Waits until the replica fails and returns the failure. With [`BootstrapMode::FromSeeds`], a
+    /// disk that the other replicas refuse counts as a failure too, and so does a removal after which
+    /// the replica cannot return under its identity.
     pub(crate) async fn wait_for_failure(&self) -> Error {
+        let Some(manager) = &self.membership_manager else {
+            return self.wait_for_replica_failure().await;
+        };
+        tokio::select! {
+            failure = self.wait_for_replica_failure() => failure,
+            () = manager.wait_until_identity_discarded() => {
+                self.discard_identity(Refusal::Removed)
+            }
+        }
+    }
+
+    async fn wait_for_replica_failure(&self) -> Error {
         let mut status = self.replica.status();
         loop {
             let failure = status.borrow_and_update().failure.clone();
@@ -141,10 +152,9 @@
             if let Some(failure) = failure {
                 return Error::new(Step::Sync, peer(), failure.to_string());
             }
-            if let Some(refusal) = status.borrow().refusal
-                && matches!(self.settings.bootstrap, BootstrapMode::FromSeeds { .. })
-            {
-                return self.discard_identity(refusal);
+            let refusal = status.borrow().refusal;
+            if refusal == Some(Refusal::OtherDisk) && self.membership_manager.is_some() {
+                return self.discard_identity(Refusal::OtherDisk);
             }
             if status.changed().await.is_err() {
                 return Error::new(Step::Commit, peer(), "the replica has stopped");
@@ -172,18 +182,36 @@
     }
 }
 
-/// Returns the membership manager, which adds and promotes replicas without operators, and the seed
-/// addresses. `None` if operators change the membership.
+/// Returns the membership manager, which adds, promotes and removes replicas without operators.
+/// `None` if operators change the membership.
 fn membership_manager(
+    context: &ProcessContext,
     settings: &ControlSettings,
     replica: &ReplicaHandle,
-    candidate: JoinCandidate,
-) -> Option<(MembershipManager, Vec<SocketAddr>)> {
-    match &settings.bootstrap {
-        BootstrapMode::Manual { .. } => None,
-        BootstrapMode::FromSeeds { seeds, voters, .. } => {
-            let manager = MembershipManager::new(replica.clone(), SYSTEM_NAME, candidate, *voters);
-            Some((manager, seeds.clone()))
-        }
-    }
+) -> Option<MembershipManager> {
+    let BootstrapMode::FromSeeds { voters, .. } = &settings.bootstrap else {
+        return None;
+    };
+    let token = context.token.clone();
+    let own = replica.join_candidate();
+    let manager = MembershipManager::new(replica.clone(), SYSTEM_NAME, token, own, *voters);
+    Some(manager)
+}
+
+/// Logs a membership change that no operator ordered.
+fn write_membership_change(events: EventLog, due: &DueChange) {
+    let (change, id) = match due.change {
+        MembershipChange::AddLearner { id, .. } => ("added", id),
+        MembershipChange::Promote { id } => ("promoted", id),
+        MembershipChange::Remove { id } => ("removed", id),
+        MembershipChange::Readmit { id, .. } => ("readmitted", id),
+    };
+    events.write(
+        Event::ReplicaChanged,
+        &[
+            ("change", &change),
+            ("replica", &id),
+            ("reason", &due.reason),
+        ],
+    );
 }
