feat(process): read the settings again on SIGHUP

Cause: SIGHUP was ignored, so a changed settings file showed nothing until the next start, and a broken one failed only then.

Change: the file is read and checked again. The log level is applied; E1007 names each other setting that differs, which takes effect at the next start; a file that is not valid changes nothing and is one line E1008 with file, field and rule. Values are not logged, since one may be a secret. The platform's file has no setting that can change while a process runs.

--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -75,6 +75,11 @@
     CallsCut = 1005, "calls-cut", Warn;
     /// Log lines were dropped because the reader of the log was too slow; fields: count.
     LinesLeftOut = 1006, "lines-left-out", Warn;
+    /// The settings file was read again after SIGHUP; fields: applied, and needs-restart: the settings that
+    /// differ and take effect at the next start.
+    SettingsReloaded = 1007, "settings-reloaded", Info;
+    /// The settings file was read again after SIGHUP and is not valid; the old settings stay in force; fields: error.
+    SettingsRejected = 1008, "settings-rejected", Error;
     /// The node applied a newer configuration; fields: version, routes, pools.
     ConfigTaken = 1101, "config-taken", Info;
     /// The node attached to a parent in the distribution tree; fields: parent, kind, unattached-millis.
--- a/trefoillock-process/src/explanation.rs
+++ b/trefoillock-process/src/explanation.rs
@@ -189,6 +189,15 @@
         Ok(())
     }
 
+    /// Returns the values of a field in the lines of an event that a process wrote, in the order of their
+    /// times. A line without the field counts as an empty value.
+    #[must_use]
+    pub fn fields(&self, process: &str, event: Event, field: &str) -> Vec<String> {
+        let of_event = |line: &&LogLine| line.process == process && line.event() == Some(event);
+        let lines = self.lines.iter().filter(of_event);
+        lines.map(|line| line.text(field).to_owned()).collect()
+    }
+
     /// Explains a request, or returns `None` if no line names it.
     #[must_use]
     pub fn explain(&self, request: &str) -> Option<Explanation> {
--- a/trefoillock-process/src/lib.rs
+++ b/trefoillock-process/src/lib.rs
@@ -13,6 +13,7 @@
 mod logging;
 mod queued_writer;
 mod raw_settings;
+mod reload;
 mod secret;
 mod settings;
 mod signals;
@@ -26,10 +27,11 @@
 pub use log_rate_limiter::LogRateLimiter;
 pub use logging::{LogError, LogFormat, LogOutput, log_event, start_logging};
 pub use queued_writer::LogFlusher;
+pub use reload::{SettingsReloader, SettingsSummary};
 pub use secret::read_secret;
 pub use settings::{
     BootstrapMode, ControlSettings, LogSettings, NodeSettings, ReplicaAddress, Settings,
     SettingsError,
 };
-pub use signals::cancel_on_signal;
+pub use signals::handle_signals;
 pub use stop_settings::StopSettings;
--- a/trefoillock-process/src/logging.rs
+++ b/trefoillock-process/src/logging.rs
@@ -70,8 +70,12 @@
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("trefoillock")
         .build();
-    match WriteLogger::init(level, config, writer) {
-        Ok(()) => Ok(flusher),
+    // The level of the process may change while it runs, so the writer takes all events.
+    match WriteLogger::init(LevelFilter::Info, config, writer) {
+        Ok(()) => {
+            log::set_max_level(level);
+            Ok(flusher)
+        }
         Err(error) => Err(LogError(error.to_string())),
     }
 }
--- a/trefoillockd/src/main.rs
+++ b/trefoillockd/src/main.rs
@@ -6,7 +6,9 @@
 use pico_args::Arguments;
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::Error;
-use trefoillock_process::{LogOutput, Settings, cancel_on_signal, start_logging};
+use trefoillock_process::{
+    Clock, LogOutput, Settings, SettingsReloader, SettingsSummary, handle_signals, start_logging,
+};
 use trefoillock_roles::{Daemon, check_data_folder, init_joining_folder, init_voter_folder};
 
 /// The exit code for malformed arguments or settings and for an unusable data folder.
@@ -93,7 +95,7 @@
             println!("{}: the settings are valid", file.display());
             ExitCode::SUCCESS
         }
-        _ => serve(settings),
+        _ => serve(settings, file.to_owned()),
     }
 }
 
@@ -104,7 +106,7 @@
     }
 }
 
-fn serve(settings: Settings) -> ExitCode {
+fn serve(settings: Settings, file: PathBuf) -> ExitCode {
     let flush = match start_logging(settings.log.level, LogOutput::Stderr, settings.log.format) {
         Ok(flush) => flush,
         Err(error) => return exit_malformed(&error.to_string()),
@@ -121,7 +123,14 @@
     };
     let result = runtime.block_on(async {
         let stop = CancellationToken::new();
-        cancel_on_signal(stop.clone())?;
+        let load = move || match Settings::load(&file) {
+            Ok(settings) => Ok(SettingsSummary::from(&settings)),
+            Err(error) => Err(error.to_string()),
+        };
+        let in_force = SettingsSummary::from(&settings);
+        let format = settings.log.format;
+        let mut reloader = SettingsReloader::new(Clock::start(), format, in_force, load);
+        handle_signals(stop.clone(), move || reloader.reload())?;
         let daemon = Daemon::start(settings, stop).await?;
         daemon.run_until_stopped().await
     });
