feat(policy,node): schedule large responses on the link of the VM

Cause: responses of 90 KB in the mean fill links of 6.9 Mbit/s while slots stand free. Ruled out: slots.

Change: LinkSchedule decides which bytes leave a VM whose link rate is known (node.link_kbit_s): short responses at once, large ones in chunks of 12 ms, fewest bytes left first, by deadline once not all can be in time. A call with large responses is refused (link-full) before it runs if what was admitted needs more than a third of its time. Bodies are read ahead up to 1 MiB, so that slots are free while bodies wait for the link.

--- a/trefoillock-core/src/outcome.rs
+++ b/trefoillock-core/src/outcome.rs
@@ -67,6 +67,8 @@
     Overloaded,
     /// The backend server takes calls at a limited rate, and no turn comes in time.
     RateLimited,
+    /// The link of the destination's VM is full, so that the response would come too late.
+    LinkFull,
     /// The deadline passed.
     Deadline,
     /// The destination could not be reached.
@@ -106,6 +108,7 @@
             Self::NoServer => "no-server",
             Self::Overloaded => "overloaded",
             Self::RateLimited => "rate-limited",
+            Self::LinkFull => "link-full",
             Self::Deadline => "deadline",
             Self::Unreachable => "unreachable",
             Self::Draining => "draining",
@@ -137,6 +140,7 @@
             Self::NoServer
             | Self::Overloaded
             | Self::RateLimited
+            | Self::LinkFull
             | Self::Unreachable
             | Self::Draining
             | Self::RefusedByServer
--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -10,7 +10,8 @@
 use trefoillock_rpc::Token;
 
 use crate::{
-    CallLog, Delivery, EvidenceRecorder, Guards, NodeView, destination, peer_clients::PeerClients,
+    CallLog, Delivery, EvidenceRecorder, Guards, NodeView, destination, link_pacer::LinkPacer,
+    peer_clients::PeerClients,
 };
 
 /// The identity of a node, its configuration and members, its local backend servers, and its
@@ -30,6 +31,7 @@
     tasks: TaskTracker,
     call_settings: CallSettings,
     call_log: CallLog,
+    link: Option<Arc<LinkPacer>>,
 }
 
 impl NodeContext {
@@ -58,6 +60,7 @@
             tasks: TaskTracker::new(),
             call_settings: CallSettings::default(),
             call_log: CallLog::default(),
+            link: None,
         }
     }
 
@@ -75,6 +78,19 @@
         self
     }
 
+    /// Sets the rate of the link from this VM to the others, in bytes a second, so that large
+    /// responses to calls of other nodes are scheduled. `None` if it is not known.
+    #[must_use]
+    pub fn with_link(mut self, bytes_per_s: Option<u64>) -> Self {
+        self.link = bytes_per_s.map(|rate| Arc::new(LinkPacer::new(self.clock, rate)));
+        self
+    }
+
+    /// The link from this VM to the others; `None` if its rate is not known.
+    pub(crate) const fn link(&self) -> Option<&Arc<LinkPacer>> {
+        self.link.as_ref()
+    }
+
     /// The log of single calls.
     #[must_use]
     pub const fn call_log(&self) -> &CallLog {
--- a/trefoillock-node/src/delivery.rs
+++ b/trefoillock-node/src/delivery.rs
@@ -8,6 +8,8 @@
     CallRate, DEFAULT_PRIORITY, Fingerprint, Incarnation, RouteClass, ServerId, ServiceName,
     VersionLabel, headers,
 };
+use trefoillock_policy::Demand;
+use trefoillock_process::Clock;
 
 use crate::headers::{
     CLASS, FINGERPRINT, KNOWN_LIMIT, OBJECTIVE_MS, QUEUE_MS, RANK, SERVER, SERVICE, VERSION,
@@ -101,6 +103,18 @@
         self
     }
 
+    /// The scheduling parameters of the call, in the time of `clock`.
+    pub(crate) fn demand(&self, clock: &Clock) -> Demand {
+        let (now, instant) = (clock.now(), Instant::now());
+        let at = |time: Instant| now + time.saturating_duration_since(instant);
+        Demand {
+            class: self.class,
+            rank: self.rank,
+            deadline: at(self.deadline),
+            objective: self.objective.map(at),
+        }
+    }
+
     /// Writes the delivery into the headers of a call between nodes.
     pub(crate) fn write(&self, map: &mut HeaderMap) {
         let left = self.deadline.saturating_duration_since(Instant::now());
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{Request, Response, header};
+use http::{HeaderMap, Request, Response, header};
 use http_body_util::BodyExt;
 use tokio::time::Instant;
 use trefoillock_backend::{
@@ -13,7 +13,8 @@
 
 use crate::{
     CallLine, Delivery, NodeContext, ServerReport, detached_body::detach_body,
-    headers::header_text, strip_hop_by_hop, strip_internal, watched_body::WatchedBody,
+    headers::header_text, link_pacer::LinkPermit, strip_hop_by_hop, strip_internal,
+    watched_body::WatchedBody,
 };
 
 /// The time within which a restart of a backend server counts as the cause of a lost connection.
@@ -57,6 +58,26 @@
     })
 }
 
+/// Admits a call of another node to the link of this VM. `None` if its rate is not known.
+pub(crate) fn admit_to_link(
+    cx: &NodeContext,
+    headers: &HeaderMap,
+    delivery: &Delivery,
+) -> Result<Option<LinkPermit>, CallFailure> {
+    let Some(link) = cx.link() else {
+        return Ok(None);
+    };
+    let admitted = link.admit(&delivery.demand(cx.clock()));
+    admitted.map(Some).map_err(|retry_after| {
+        let proof = NotExecuted::nothing_written();
+        let failure = CallFailure::did_not_run(RefusalReason::LinkFull, proof)
+            .with_retry_after(Some(retry_after));
+        let id = cx.call_log().id(headers);
+        log_failure(cx, id, delivery, &failure, None, Instant::now());
+        failure
+    })
+}
+
 /// Finds the backend server that a call is sent to. One that has lost its lease, or now belongs to
 /// another service or version, counts as draining.
 fn find_server(cx: &NodeContext, delivery: &Delivery) -> Result<Arc<LocalServer>, CallFailure> {
--- a/trefoillock-node/src/refusal.rs
+++ b/trefoillock-node/src/refusal.rs
@@ -51,6 +51,7 @@
         RefusalReason::NoServer
             | RefusalReason::Overloaded
             | RefusalReason::RateLimited
+            | RefusalReason::LinkFull
             | RefusalReason::Unreachable
             | RefusalReason::Draining
             | RefusalReason::RefusedByServer
--- a/trefoillock-node/src/serve_peer.rs
+++ b/trefoillock-node/src/serve_peer.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use http::{HeaderValue, Request, Response, header};
+use http_body_util::BodyExt;
 use hyper::{body::Incoming, service::Service};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
@@ -12,8 +13,12 @@
 use trefoillock_rpc::RpcServer;
 
 use crate::{
-    Delivery, NodeContext, ServerLimits, ServerReport, destination::deliver, failure_response,
-    headers::SERVER, serve_http,
+    Delivery, NodeContext, ServerLimits, ServerReport,
+    destination::{admit_to_link, deliver},
+    failure_response,
+    headers::SERVER,
+    paced_body::PacedBody,
+    serve_http,
 };
 
 /// The prefix of the paths of messages between guards.
@@ -36,6 +41,10 @@
         let (view, stop) = (cx.view().clone(), stop_guards.clone());
         tokio::spawn(async move { guards.follow_guard_table(&view, stop).await })
     };
+    let pacing = cx.link().cloned().map(|link| {
+        let stop = stop_guards.clone();
+        tokio::spawn(async move { stop.run_until_cancelled(link.run()).await })
+    });
     let handler = move |req: Request<Incoming>| {
         let (cx, rpc) = (cx.clone(), rpc.clone());
         async move {
@@ -50,6 +59,9 @@
     tasks.wait().await;
     stop_guards.cancel();
     let _ = following.await;
+    if let Some(pacing) = pacing {
+        let _ = pacing.await;
+    }
 }
 
 /// Whether a request is a message between guards. Calls to backend servers may have any path, but
@@ -76,10 +88,18 @@
         let failure = CallFailure::did_not_run(RefusalReason::BadRequest, proof);
         return failure_response(&failure);
     };
+    let permit = match admit_to_link(&cx, req.headers(), &delivery) {
+        Ok(permit) => permit,
+        Err(failure) => return failure_response(&failure),
+    };
     let mut req = req.map(box_body);
     set_origin_form(&mut req);
     match deliver(&cx, delivery, req).await {
-        Ok(mut resp) => {
+        Ok(resp) => {
+            let mut resp = match permit {
+                Some(permit) => resp.map(|body| PacedBody::new(body, permit).boxed_unsync()),
+                None => resp,
+            };
             let answered = HeaderValue::from_static(Outcome::Answered.as_str());
             resp.headers_mut().insert(headers::OUTCOME, answered);
             if let Some(report) = resp.extensions_mut().remove::<ServerReport>() {
--- a/trefoillock-policy/src/demand.rs
+++ b/trefoillock-policy/src/demand.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// The priority rank of the lane; 0 is the highest.
+    #[must_use]
+    pub const fn rank(self) -> u8 {
+        self.rank
+    }
+
     /// The class that the lane was created for. A lane shared by calls with an objective reports
     /// `Posting`.
     #[must_use]
--- a/trefoillock-policy/src/lib.rs
+++ b/trefoillock-policy/src/lib.rs
@@ -28,6 +28,7 @@
 mod demand;
 pub mod guard;
 mod hedge_policy;
+mod link_schedule;
 mod load_hint;
 mod quarantine;
 mod rate_limiter;
@@ -50,6 +51,7 @@
     StoredAnswer, Vote, plan_guards, uuid_v7_time,
 };
 pub use hedge_policy::HedgePolicy;
+pub use link_schedule::LinkSchedule;
 pub use load_hint::{CallResult, LimitHint, LoadHint};
 pub use quarantine::Quarantine;
 pub use retry_budget::RetryBudget;
--- a/trefoillock-policy/src/retry_decision.rs
+++ b/trefoillock-policy/src/retry_decision.rs
@@ -126,6 +126,7 @@
         reason,
         RefusalReason::Overloaded
             | RefusalReason::RateLimited
+            | RefusalReason::LinkFull
             | RefusalReason::Unreachable
             | RefusalReason::Draining
             | RefusalReason::RefusedByServer
--- a/trefoillock-process/src/explanation.rs
+++ b/trefoillock-process/src/explanation.rs
@@ -362,6 +362,9 @@
                 None => "refused because of a limit on the rate of calls".to_owned(),
             }
         }
+        (_, "link-full") => format!(
+            "refused because the link of {node} is full and the response would come too late"
+        ),
         (_, "no-route") => format!("no route in configuration {}", line.text("config")),
         (_, reason) => match find_restart(node, line, lines) {
             Some(start) => format!(
--- a/trefoillock-process/src/raw_settings.rs
+++ b/trefoillock-process/src/raw_settings.rs
@@ -1,6 +1,6 @@
 //! The JSON form of the settings file, before validation.
 
-use std::path::PathBuf;
+use std::{num::NonZeroU32, path::PathBuf};
 
 use serde::Deserialize;
 
@@ -43,6 +43,8 @@
     pub(crate) mesh: String,
     pub(crate) backend: String,
     pub(crate) control: Vec<String>,
+    #[serde(default)]
+    pub(crate) link_kbit_s: Option<NonZeroU32>,
 }
 
 /// The settings of the control replica role.
--- a/trefoillock-process/src/settings.rs
+++ b/trefoillock-process/src/settings.rs
@@ -70,6 +70,9 @@
     pub backend: SocketAddr,
     /// The mesh addresses of the control replicas.
     pub control: Vec<SocketAddr>,
+    /// The rate of the link from the VM to the others, in bytes a second; `None` if it is not known,
+    /// so that large responses are not scheduled.
+    pub link_bytes_per_s: Option<u64>,
 }
 
 /// The identity and address of a voter of the replicated log.
@@ -277,6 +280,9 @@
             mesh: self.parse_address("$.node.mesh", &raw.mesh)?,
             backend: self.parse_address("$.node.backend", &raw.backend)?,
             control: control.collect::<Result<_, _>>()?,
+            link_bytes_per_s: raw
+                .link_kbit_s
+                .map(|kbit| u64::from(kbit.get()) * 1_000 / 8),
         })
     }
 
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -76,7 +76,8 @@
         );
         let node = Arc::new(
             node.with_call_settings(context.settings.calls)
-                .with_call_log(call_log),
+                .with_call_log(call_log)
+                .with_link(settings.link_bytes_per_s),
         );
         let (evidence_tx, evidence) = mpsc::channel(EVIDENCE_QUEUE_CAPACITY);
         let traffic = Arc::new(TrafficCounter::new());
