fix(node,caller): leave room on the link, and keep large responses in a data centre

The sum was over the rate, the sockets filled, and short answers were late again.

Change: responses to other nodes get 85% of the rate. After link-full a call is tried at one more backend server of the same data centre only; otherwise its caller is told when there is room.

Ruled out, tried and reverted: closing connections between nodes by their silence in place of HTTP/2 pings, as cause of LOST. A test with an answer of five seconds over a slow link passed with the code as it was, since pings are put off while frames arrive; that a pong is late while other connections fill the link stays a suspicion.

--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -196,6 +196,9 @@
 
     fn decide_retry(&mut self, failure: &CallFailure) -> bool {
         self.sends += u32::from(may_have_reached_server(failure));
+        if failure.reason() == RefusalReason::LinkFull && !self.has_untried_beside_last() {
+            return false;
+        }
         let now = self.cx.clock().now();
         let left = self.call.time_left();
         let attempt = Attempt {
@@ -218,6 +221,15 @@
         retries
     }
 
+    /// Whether the data centre of the last backend server has another one that was not tried.
+    ///
+    /// A large response that does not fit on the links of one data centre would fill those between
+    /// data centres. Its caller comes back when there is room.
+    fn has_untried_beside_last(&self) -> bool {
+        let last = self.tried.last();
+        last.is_some_and(|last| self.pool.has_untried_beside(last, &self.tried))
+    }
+
     fn log_retry(&self, now: Timestamp, failure: &CallFailure) {
         self.cx.call_log().write(now, CallLine::Retried, || {
             let attempts = self.call.server_attempts();
--- a/trefoillock-caller/src/pool_state.rs
+++ b/trefoillock-caller/src/pool_state.rs
@@ -104,6 +104,19 @@
         members.any(|member| !tried.contains(&member.id))
     }
 
+    /// Whether the data centre of a backend server has another one of the pool that is not in `tried`.
+    pub(crate) fn has_untried_beside(&self, server: &ServerId, tried: &[ServerId]) -> bool {
+        let state = self.lock();
+        let Some(refusing) = state.members.iter().find(|member| member.id == *server) else {
+            return false;
+        };
+        let mut beside = state
+            .members
+            .iter()
+            .filter(|member| member.data_centre == refusing.data_centre);
+        beside.any(|member| !tried.contains(&member.id))
+    }
+
     /// Adds a deposit to the retry budget, for a call that was answered.
     pub(crate) fn deposit(&self) {
         self.lock().budget.deposit();
--- a/trefoillock-node/src/link_pacer.rs
+++ b/trefoillock-node/src/link_pacer.rs
@@ -14,6 +14,11 @@
 use trefoillock_policy::{Demand, LinkSchedule, Ticket};
 use trefoillock_process::Clock;
 
+/// The share of the link's rate that responses to other nodes are sent at, in percent. The rest is for
+/// what the VM sends besides: requests, answers to its own callers, control messages and packet
+/// headers.
+const RESPONSE_PERCENT: u64 = 85;
+
 #[derive(Debug)]
 struct State {
     schedule: LinkSchedule,
@@ -33,7 +38,7 @@
 impl LinkPacer {
     /// Creates the pacer of a link with a rate in bytes a second. [`Self::run`] must run beside it.
     pub(crate) fn new(clock: Clock, bytes_per_s: u64) -> Self {
-        let schedule = LinkSchedule::new(bytes_per_s);
+        let schedule = LinkSchedule::new(bytes_per_s / 100 * RESPONSE_PERCENT);
         Self {
             clock,
             chunk_bytes: schedule.chunk_bytes(),
--- a/trefoillock-policy/src/link_schedule.rs
+++ b/trefoillock-policy/src/link_schedule.rs
@@ -7,9 +7,6 @@
 
 use crate::{Demand, Lane, Ticket};
 
-/// The share of the link's rate that bodies are sent at. The rest is for requests, control messages
-/// and the headers of packets.
-const BODY_SHARE: f64 = 0.97;
 /// The time for which one chunk occupies the link.
 const CHUNK_TIME: Duration = Duration::from_millis(12);
 /// The bounds of the size of a chunk, in bytes.
@@ -74,11 +71,12 @@
 }
 
 impl LinkSchedule {
-    /// Creates the schedule of an idle link with a rate in bytes a second.
+    /// Creates the schedule of an idle link that sends responses at a rate in bytes a second. What is
+    /// sent besides must fit into the rest of the link.
     #[must_use]
     pub fn new(bytes_per_s: u64) -> Self {
         #[expect(clippy::cast_precision_loss, reason = "a rate is far below 2^52")]
-        let bytes_per_s = (bytes_per_s as f64 * BODY_SHARE).max(1.0);
+        let bytes_per_s = (bytes_per_s as f64).max(1.0);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
