fix(node,caller,roles): calls of a stopping node end before it cuts them

Cause: an entry that got SIGTERM takes requests for another 2.6 s and cuts what is in flight 5.3 s after the signal, but gave these requests their whole deadline. A large response then waited at the link of the other node behind shorter ones, within its deadline of 6 s, and was cut in the middle of its 200 answer.

Ruled out: a bound for all bodies of two fifths of their time.

Change: NodeContext knows when a stop cuts; a call that is taken then has a deadline of 0.2 s before that, which its backend server and the link of the destination see.

--- a/trefoillock-caller/src/call_handler.rs
+++ b/trefoillock-caller/src/call_handler.rs
@@ -112,7 +112,7 @@
         let (pool, assignment) = self.choose_pool(&config, route)?;
         let objective = self.objective(route, req.headers(), arrived);
         Ok(Call {
-            deadline: deadline(route, req.headers(), arrived),
+            deadline: deadline(route, req.headers(), arrived, self.cx.latest_deadline()),
             route: route.clone(),
             pool,
             assignment,
--- a/trefoillock-caller/src/request.rs
+++ b/trefoillock-caller/src/request.rs
@@ -29,11 +29,18 @@
     text.parse().ok().map(Duration::from_millis)
 }
 
-/// The deadline of a call: the route's timeout or the caller's timeout, whichever is shorter.
-pub(crate) fn deadline(route: &Route, map: &HeaderMap, arrived: Instant) -> Instant {
+/// The deadline of a call: the end of the route's timeout or of the caller's, or `latest`, whichever
+/// comes first.
+pub(crate) fn deadline(
+    route: &Route,
+    map: &HeaderMap,
+    arrived: Instant,
+    latest: Option<Instant>,
+) -> Instant {
     let requested = requested_timeout(map);
     let timeout = requested.map_or(route.timeout(), |requested| requested.min(route.timeout()));
-    arrived + timeout
+    let end = arrived + timeout;
+    latest.map_or(end, |latest| end.min(latest))
 }
 
 /// The idempotency key of a request, if it has one.
--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -1,10 +1,11 @@
 //! The state that all calls of one node share.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use http::{Request, Response};
+use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
-use trefoillock_backend::{Body, CallFailure, LocalServers};
+use trefoillock_backend::{Body, CallFailure, LATE_BODY_TIME, LocalServers};
 use trefoillock_core::{DataCentre, Incarnation, Member, NodeId};
 use trefoillock_process::{CallSettings, Clock};
 use trefoillock_rpc::Token;
@@ -32,6 +33,8 @@
     call_settings: CallSettings,
     call_log: CallLog,
     link: Option<Arc<LinkPacer>>,
+    /// The time at which the calls in flight are cut; empty while no stop has begun.
+    cut_at: OnceLock<Instant>,
 }
 
 impl NodeContext {
@@ -61,6 +64,7 @@
             call_settings: CallSettings::default(),
             call_log: CallLog::default(),
             link: None,
+            cut_at: OnceLock::new(),
         }
     }
 
@@ -91,6 +95,21 @@
         self.link.as_ref()
     }
 
+    /// Notes that the process stops and that the calls in flight are cut at `cut_at`.
+    pub fn begin_stop(&self, cut_at: Instant) {
+        // Only the first stop counts.
+        let _ = self.cut_at.set(cut_at);
+    }
+
+    /// The latest deadline of a call that is taken now; `None` if nothing will cut it.
+    ///
+    /// A call of a node that stops must be complete before it is cut. The backend servers and the
+    /// links of other nodes learn so from its deadline.
+    #[must_use]
+    pub fn latest_deadline(&self) -> Option<Instant> {
+        self.cut_at.get()?.checked_sub(LATE_BODY_TIME)
+    }
+
     /// The log of single calls.
     #[must_use]
     pub const fn call_log(&self) -> &CallLog {
--- a/trefoillock-process/src/stop_settings.rs
+++ b/trefoillock-process/src/stop_settings.rs
@@ -23,6 +23,13 @@
         Duration::from_millis(self.linger_ms as u64)
     }
 
+    /// The time after the stop began at which calls in flight are cut; `None` if there is no limit.
+    #[must_use]
+    pub fn limit(self) -> Option<Duration> {
+        (self.limit_ms > 0)
+            .then(|| Duration::from_millis(u64::from(self.limit_ms.max(self.linger_ms))))
+    }
+
     /// The time for which calls in flight may continue after no more connections are accepted;
     /// `None` if there is no limit.
     #[must_use]
--- a/trefoillock-roles/src/daemon.rs
+++ b/trefoillock-roles/src/daemon.rs
@@ -136,6 +136,9 @@
         self.context.health.stopping.store(true, Ordering::Relaxed);
         let stop_settings = self.context.settings.stop;
         if let Some(node) = self.node {
+            if let Some(limit) = stop_settings.limit() {
+                node.begin_stop(limit);
+            }
             tokio::time::sleep(stop_settings.linger()).await;
             self.context.stop_accepting.cancel();
             match stop_settings.drain_timeout() {
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use tokio::sync::{broadcast::error::RecvError, mpsc, watch};
+use tokio::{
+    sync::{broadcast::error::RecvError, mpsc, watch},
+    time::Instant,
+};
 use tokio_util::task::TaskTracker;
 use trefoillock_backend::{BackendRegistry, LocalServers, ServerChange, ServerEvent};
 use trefoillock_control::{LocalEvidence, NodeAgent, NodeIdentity, NodeInputs, NodeOutputs};
@@ -35,7 +38,7 @@
 /// A running node.
 pub(crate) struct NodeRole {
     call_servers: TaskTracker,
-    view: Arc<NodeView>,
+    node: Arc<NodeContext>,
 }
 
 impl NodeRole {
@@ -118,7 +121,10 @@
         let backend = protocol.serve_backend(backend, registry.clone(), context.shutdown.clone());
         context.spawn_server("backend", backend);
         context.tasks.spawn(agent.run(context.shutdown.clone()));
-        let view = node.view().clone();
+        let role = Self {
+            call_servers,
+            node: node.clone(),
+        };
         let tasks = NodeTasks {
             context: context.clone(),
             node,
@@ -133,12 +139,17 @@
         context.tasks.spawn(server_events);
         let announcements = log_announcements(context.clone(), registry);
         context.tasks.spawn(announcements);
-        Ok(Self { call_servers, view })
+        Ok(role)
     }
 
     /// Returns the node's current configuration and member list.
     pub(crate) fn view(&self) -> Arc<NodeView> {
-        self.view.clone()
+        self.node.view().clone()
+    }
+
+    /// Notes that the process stops and that the calls in flight are cut after `limit`.
+    pub(crate) fn begin_stop(&self, limit: Duration) {
+        self.node.begin_stop(Instant::now() + limit);
     }
 
     /// Waits until the calls in flight have ended. `stop_accepting` must have been cancelled
