feat(node): count the calls of new versions at the nodes beside their servers

Every call passes the node beside its backend server, so that node counts them, and logs the count at each step (E1302). Calls that were not sent are taken back; whether one may have reached a server is now told in one place, CallFailure::may_have_reached_server.

No logic changes.

--- a/trefoillock-backend/src/failure.rs
+++ b/trefoillock-backend/src/failure.rs
@@ -111,6 +111,13 @@
         self.execution
     }
 
+    /// Whether a backend server received the call, or may have received it.
+    #[must_use]
+    pub const fn may_have_reached_server(&self) -> bool {
+        matches!(self.execution, Execution::Unknown)
+            || matches!(self.reason, RefusalReason::RefusedByServer)
+    }
+
     /// Whether the process of the backend server is gone.
     #[must_use]
     pub const fn crash(&self) -> Crash {
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -195,7 +195,7 @@
     }
 
     fn decide_retry(&mut self, failure: &CallFailure) -> bool {
-        self.sends += u32::from(may_have_reached_server(failure));
+        self.sends += u32::from(failure.may_have_reached_server());
         if failure.reason() == RefusalReason::LinkFull && !self.has_untried_beside_last() {
             return false;
         }
@@ -293,12 +293,6 @@
     }
 }
 
-/// Whether a backend server received the call, or may have received it.
-const fn may_have_reached_server(failure: &CallFailure) -> bool {
-    matches!(failure.execution(), Execution::Unknown)
-        || matches!(failure.reason(), RefusalReason::RefusedByServer)
-}
-
 /// The lane in which a call waits at a destination node.
 pub(crate) fn lane(call: &Call) -> Lane {
     Lane::new(call.route.priority, call.route.class)
--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -1,12 +1,13 @@
 //! The state that all calls of one node share.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use http::{Request, Response};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 use trefoillock_backend::{Body, CallFailure, LATE_BODY_TIME, LocalServers};
 use trefoillock_core::{DataCentre, Incarnation, Member, NodeId};
+use trefoillock_policy::RolloutLedger;
 use trefoillock_process::{CallSettings, Clock};
 use trefoillock_rpc::Token;
 
@@ -33,6 +34,7 @@
     call_settings: CallSettings,
     call_log: CallLog,
     link: Option<Arc<LinkPacer>>,
+    rollouts: Mutex<RolloutLedger>,
     /// The time at which the calls in flight are cut; empty while no stop has begun.
     cut_at: OnceLock<Instant>,
 }
@@ -64,6 +66,7 @@
             call_settings: CallSettings::default(),
             call_log: CallLog::default(),
             link: None,
+            rollouts: Mutex::new(RolloutLedger::new()),
             cut_at: OnceLock::new(),
         }
     }
@@ -122,6 +125,11 @@
         &self.call_settings
     }
 
+    /// The calls that the local backend servers got of the new versions of rollouts.
+    pub fn rollouts(&self) -> MutexGuard<'_, RolloutLedger> {
+        self.rollouts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The identifier of this node.
     #[must_use]
     pub const fn node(&self) -> &NodeId {
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -115,6 +115,8 @@
         incarnation: server.announcement().incarnation,
     };
     let arrived = Instant::now();
+    let (service, version) = (&delivery.service, &delivery.version);
+    cx.rollouts().record(service, version, delivery.address);
     match server.call(req, limits).await {
         Ok(mut resp) => {
             strip_hop_by_hop(resp.headers_mut());
@@ -132,6 +134,9 @@
             }))
         }
         Err(failure) => {
+            if !failure.may_have_reached_server() {
+                cx.rollouts().withdraw(service, version, delivery.address);
+            }
             log_failure(&cx, &id, &delivery, &failure, Some(&server), arrived);
             if failure.crash() == Crash::Yes {
                 cx.recorder().record_crash(report);
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -104,6 +104,9 @@
     StatementIgnored = 1206, "statement-ignored", Warn;
     /// A node cut the share of a new pool to zero on its own evidence; fields: route, move.
     LocalCut = 1301, "local-cut", Warn;
+    /// A rollout took a step, and this node has backend servers of the new version; fields: rollout, service, version, step,
+    /// server, calls: those that were sent to the backend server since the order.
+    VersionCalls = 1302, "version-calls", Info;
     /// An edit was accepted; fields: id, version, moves.
     EditAccepted = 1401, "edit-accepted", Info;
     /// An edit was refused; fields: id, reason.
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -19,6 +19,7 @@
 use trefoillock_core::{CallRate, Error, Evidence, Incarnation};
 use trefoillock_moves::LocalAnalysis;
 use trefoillock_node::{CallLog, NodeContext, NodeView};
+use trefoillock_policy::VersionCalls;
 use trefoillock_process::{Event, NodeSettings};
 use trefoillock_rpc::{RpcServer, TrafficCounter};
 
@@ -209,6 +210,10 @@
             config.tables().routes().len(),
             config.tables().pools().len(),
         );
+        let stepped = self.node.rollouts().observe(config.rollouts());
+        for calls in stepped {
+            self.log_version_calls(&calls);
+        }
         if self.node.view().set_config(config) {
             self.context
                 .health
@@ -224,6 +229,18 @@
         }
     }
 
+    fn log_version_calls(&self, calls: &VersionCalls) {
+        let fields: [(&str, &dyn std::fmt::Display); 6] = [
+            ("rollout", &calls.rollout),
+            ("service", &calls.service),
+            ("version", &calls.version),
+            ("step", &calls.step),
+            ("server", &calls.address),
+            ("calls", &calls.calls),
+        ];
+        self.context.events.write(Event::VersionCalls, &fields);
+    }
+
     /// Reports evidence on moves every [`EVIDENCE_INTERVAL`] and service-level counts every
     /// [`BURN_INTERVAL`]. `confirmed_round` changes whenever a live leader answers a confirmation request.
     async fn report_evidence(
