test(moves): three failing tests of a bad version that exceeds its limit

The simulated rollouts had a steady rate, evidence that always arrives and a leader that never stands still. The bound is the users' rule, 0.1 x calls + 50.

--- a/trefoillock-moves/tests/rollouts.rs
+++ b/trefoillock-moves/tests/rollouts.rs
@@ -51,19 +51,62 @@
     min_share: 0.0,
 };
 
-/// What happens to the leader and to the evidence on its way.
+/// What happens to the leader, to the evidence on its way and to the rate of calls.
 #[derive(Clone, Copy)]
 struct Disturbance {
     evidence_delay_steps: usize,
     /// When the process of the leader restarts.
     restart_at: Option<Duration>,
+    /// The time for which the leader neither decides nor takes evidence.
+    leader_pause: (Duration, Duration),
+    /// The time before which no evidence reaches the leader.
+    evidence_lost_until: Duration,
+    /// When the rate of calls triples.
+    burst_at: Duration,
 }
 
 const CALM: Disturbance = Disturbance {
     evidence_delay_steps: EVIDENCE_DELAY_STEPS,
     restart_at: None,
+    leader_pause: (Duration::ZERO, Duration::ZERO),
+    evidence_lost_until: Duration::ZERO,
+    burst_at: Duration::MAX,
 };
 
+/// The leader stands still while the new version is due for all calls.
+const LEADER_PAUSE: (Duration, Duration) =
+    (Duration::from_millis(13_750), Duration::from_millis(15_750));
+const LOST_UNTIL: Duration = Duration::from_secs(4);
+const LATE_BURST: Duration = Duration::from_secs(13);
+/// The factor by which the rate of calls grows in a burst.
+const BURST_FACTOR: f64 = 3.0;
+
+impl Disturbance {
+    fn pauses_leader(&self, elapsed: Duration) -> bool {
+        (self.leader_pause.0..self.leader_pause.1).contains(&elapsed)
+    }
+
+    fn calls_per_step(&self, rate: f64, elapsed: Duration) -> f64 {
+        let factor = if elapsed >= self.burst_at {
+            BURST_FACTOR
+        } else {
+            1.0
+        };
+        rate * factor * TIME_STEP.as_secs_f64()
+    }
+
+    /// The calls from the order to the deadline.
+    fn calls(&self, rate: f64) -> f64 {
+        let mut calls = 0.0;
+        let mut elapsed = Duration::ZERO;
+        while elapsed < DURATION {
+            calls += self.calls_per_step(rate, elapsed);
+            elapsed += TIME_STEP;
+        }
+        calls
+    }
+}
+
 struct Outcome {
     state: RolloutState,
     at: Duration,
@@ -134,14 +177,16 @@
             controller = RolloutController::new();
             in_transit.clear();
         }
-        controller.track(now, &rollouts);
+        let is_leading = !disturbance.pauses_leader(elapsed);
+        if is_leading {
+            controller.track(now, &rollouts);
+        }
         let current = &rollouts[&service];
         let mut evidence = MoveEvidence {
             step: current.step,
             ..MoveEvidence::default()
         };
-        let calls = rate * TIME_STEP.as_secs_f64();
-        outcome.calls += calls;
+        let calls = disturbance.calls_per_step(rate, elapsed);
         let mut remaining =
             calls.floor() + f64::from(u8::from(rng.random::<f64>() < calls.fract()));
         while remaining >= 1.0 {
@@ -177,7 +222,14 @@
             moves,
             ..Evidence::default()
         });
-        if in_transit.len() > disturbance.evidence_delay_steps {
+        if elapsed < disturbance.evidence_lost_until {
+            in_transit.clear();
+        }
+        if !is_leading {
+            elapsed += TIME_STEP;
+            continue;
+        }
+        while in_transit.len() > disturbance.evidence_delay_steps {
             controller.add_evidence(now, &in_transit.remove(0));
         }
         for step in controller.decide(now, &rollouts, Some(&members()), true) {
@@ -199,7 +251,7 @@
         }
         elapsed += TIME_STEP;
     }
-    outcome.calls = rate * DURATION.as_secs_f64();
+    outcome.calls = disturbance.calls(rate);
     outcome
 }
 
@@ -318,3 +370,60 @@
         }
     }
 }
+
+/// Half of the calls fail from a time on, or only at the full share.
+const FAILS_LATE: [(&str, Behaviour); 3] = [
+    (
+        "fails from 6 s on",
+        half(Effect::Fails, Duration::from_secs(6), 0.0),
+    ),
+    (
+        "fails from 13 s on",
+        half(Effect::Fails, Duration::from_secs(13), 0.0),
+    ),
+    (
+        "fails at the full share",
+        half(Effect::Fails, Duration::ZERO, 1.0),
+    ),
+];
+
+fn assert_limit_kept(disturbance: Disturbance, rates: &[f64]) {
+    for rate in rates {
+        for (name, behaviour) in FAILS_LATE {
+            assert_rolled_back(*rate, behaviour, disturbance, name);
+        }
+    }
+}
+
+#[test]
+fn a_leader_that_stands_still_does_not_let_a_bad_version_exceed_its_limit() {
+    let paused = Disturbance {
+        leader_pause: LEADER_PAUSE,
+        ..CALM
+    };
+    assert_limit_kept(paused, &[8.0, 35.0, 64.0, 290.0]);
+}
+
+#[test]
+fn a_late_burst_does_not_let_a_bad_version_exceed_its_limit() {
+    for evidence_delay_steps in [EVIDENCE_DELAY_STEPS, LONG_EVIDENCE_DELAY_STEPS] {
+        let burst = Disturbance {
+            evidence_delay_steps,
+            burst_at: LATE_BURST,
+            ..CALM
+        };
+        assert_limit_kept(burst, &[8.0, 35.0, 64.0, 290.0]);
+    }
+}
+
+#[test]
+fn missing_evidence_does_not_let_a_bad_version_exceed_its_limit() {
+    for leader_pause in [(Duration::ZERO, Duration::ZERO), LEADER_PAUSE] {
+        let silent = Disturbance {
+            evidence_lost_until: LOST_UNTIL,
+            leader_pause,
+            ..CALM
+        };
+        assert_limit_kept(silent, &[8.0, 35.0, 64.0, 290.0]);
+    }
+}
