--- a/trefoillock-caller/src/call.rs
+++ b/trefoillock-caller/src/call.rs
@@ -5,22 +5,28 @@
 use tokio::time::Instant;
 use trefoillock_core::{Fingerprint, Pool, Route};
 use trefoillock_node::{CallEnd, CallRecord, MoveAssignment, NodeContext};
+use trefoillock_policy::RolloutClaim;
 
 use crate::server_attempts::{ServerAttempts, SharedServerAttempts};
 
 /// A call with its route, pool and deadline.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Call {
     pub(crate) route: Arc<Route>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) assignment: Option<MoveAssignment>,
+    /// The rollout by which the call was assigned to the new version; `None` if it was not.
+    pub(crate) rollout: Option<RolloutClaim>,
+    /// The old versions of the service, which take the call if the new one may get no more calls; `None` if it
+    /// is not assigned to a new version with an allowance.
+    pub(crate) old_versions: Option<Arc<Pool>>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     /// The identifier of the request in log lines.
     pub(crate) id: String,
     /// The attempts so far, for log lines.
-    pub(crate) server_attempts: SharedServerAttempts,
+    pub(crate) server_attempts: Arc<SharedServerAttempts>,
     /// The time by which the response should be complete to meet the route's target latency; `None`
     /// if only the deadline counts.
     pub(crate) objective: Option<Instant>,
@@ -37,6 +43,20 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// The same call, assigned to the old versions of its service instead of the new one.
+    pub(crate) fn moved_to_old_versions(&self) -> Self {
+        Self {
+            pool: self.old_versions.as_ref().unwrap_or(&self.pool).clone(),
+            old_versions: None,
+            assignment: self.assignment.map(|assignment| MoveAssignment {
+                to_new_pool: false,
+                ..assignment
+            }),
+            rollout: None,
+            ..self.clone()
+        }
+    }
+
     /// Records how the call ended.
     pub(crate) fn record(&self, cx: &NodeContext, end: CallEnd) {
         cx.recorder().record(&CallRecord {
--- a/trefoillock-caller/src/call_handler.rs
+++ b/trefoillock-caller/src/call_handler.rs
@@ -17,6 +17,7 @@
     IndexedConfig, MoveAssignment, NodeContext, RolloutPools, random_u32, strip_hop_by_hop,
     strip_internal,
 };
+use trefoillock_policy::RolloutClaim;
 
 use crate::{
     call::Call,
@@ -30,12 +31,20 @@
     },
     resume::resumable,
     route_state::RouteState,
-    server_attempts::SharedServerAttempts,
 };
 
 /// The state of the part of a pool that runs the given versions.
 type VersionedPoolState = (PoolVersions, Arc<PoolState>);
 
+/// Where a call is sent, and why.
+struct Placement {
+    pool: Arc<Pool>,
+    assignment: Option<MoveAssignment>,
+    rollout: Option<RolloutClaim>,
+    /// The pool that takes the call if the new version may get no more calls.
+    old_versions: Option<Arc<Pool>>,
+}
+
 /// Handles the calls that enter at one node.
 #[derive(Debug)]
 pub struct CallHandler {
@@ -109,16 +118,18 @@
         let method = req.method().as_str();
         let route = config.index().find(host(req), req.uri().path(), method);
         let route = route.ok_or_else(|| refusal(RefusalReason::NoRoute))?;
-        let (pool, assignment) = self.choose_pool(&config, route)?;
+        let placement = self.choose_pool(&config, route)?;
         let objective = self.objective(route, req.headers(), arrived);
         Ok(Call {
             deadline: deadline(route, req.headers(), arrived, self.cx.latest_deadline()),
             route: route.clone(),
-            pool,
-            assignment,
+            pool: placement.pool,
+            assignment: placement.assignment,
+            rollout: placement.rollout,
+            old_versions: placement.old_versions,
             fingerprint: Fingerprint::new(0),
             arrived,
-            server_attempts: SharedServerAttempts::default(),
+            server_attempts: Arc::default(),
             id: self.cx.call_log().id(req.headers()).to_owned(),
             objective,
         })
@@ -144,7 +155,7 @@
         &self,
         indexed: &IndexedConfig,
         route: &Route,
-    ) -> Result<(Arc<Pool>, Option<MoveAssignment>), CallFailure> {
+    ) -> Result<Placement, CallFailure> {
         let config = indexed.config();
         let share = config.moves().get(&route.name);
         let local_cut = share.filter(|share| self.cx.recorder().is_locally_cut(share.id));
@@ -165,17 +176,19 @@
             step: share.step,
             to_new_pool,
         });
-        Ok((pool.clone(), assignment))
+        Ok(Placement {
+            pool: pool.clone(),
+            assignment,
+            rollout: None,
+            old_versions: None,
+        })
     }
 
     /// Chooses between the old and the new version of a pool by the share of the rollout.
     ///
     /// Once the new version has the full share, the old version is used only if the new one has no
     /// servers.
-    fn choose_rollout_pool(
-        &self,
-        rollout_pools: &RolloutPools,
-    ) -> (Arc<Pool>, Option<MoveAssignment>) {
+    fn choose_rollout_pool(&self, rollout_pools: &RolloutPools) -> Placement {
         let rollout = &rollout_pools.rollout;
         let is_locally_cut = self.cx.recorder().is_locally_cut(rollout.id);
         let is_full_share = rollout.share == Share::FULL;
@@ -193,7 +206,17 @@
             step: rollout.step,
             to_new_pool,
         };
-        (pool.clone(), Some(assignment))
+        let claim = RolloutClaim {
+            id: rollout.id,
+            is_limited: rollout.allowance.is_some(),
+        };
+        let is_limited = to_new_pool && claim.is_limited;
+        Placement {
+            pool: pool.clone(),
+            assignment: Some(assignment),
+            rollout: to_new_pool.then_some(claim),
+            old_versions: is_limited.then(|| rollout_pools.old.clone()),
+        }
     }
 
     /// Sends a call and forwards its response; export responses are resumed if a backend server is
@@ -204,13 +227,13 @@
             Ok(resp) => {
                 let resp =
                     if self.cx.call_settings().resumes && is_resumable_class(call.route.class) {
-                        resumable(&self.cx, &call, &dispatch.pool, &req, resp)
+                        resumable(&self.cx, &dispatch.call, &dispatch.pool, &req, resp)
                     } else {
                         resp
                     };
-                forward_response(&self.cx, &call, resp)
+                forward_response(&self.cx, &dispatch.call, resp)
             }
-            Err(failure) => fail_call(&self.cx, &call, &failure),
+            Err(failure) => fail_call(&self.cx, &dispatch.call, &failure),
         }
     }
 
@@ -225,20 +248,24 @@
             return self.send(call, req).await;
         }
         let mut dispatch = self.dispatch(&call);
-        match keyed_posting::run(&mut dispatch, &mut req).await {
-            KeyedResult::Answered(resp) => forward_response(&self.cx, &call, resp),
+        let result = keyed_posting::run(&mut dispatch, &mut req).await;
+        let call = &dispatch.call;
+        match result {
+            KeyedResult::Answered(resp) => forward_response(&self.cx, call, resp),
             KeyedResult::StoredAnswer(mut resp) => {
                 set_answered_outcome(&mut resp);
                 resp
             }
-            KeyedResult::Failed(failure) => fail_call(&self.cx, &call, &failure),
+            KeyedResult::Failed(failure) => fail_call(&self.cx, call, &failure),
         }
     }
 
     fn dispatch(&self, call: &Arc<Call>) -> Dispatch {
         let pool = self.pool_state(&call.pool);
         let route = self.route_state(&call.route.name);
-        Dispatch::new(self.cx.clone(), call.clone(), pool, route)
+        let old_versions = call.old_versions.as_ref();
+        let old_versions = old_versions.map(|pool| self.pool_state(pool));
+        Dispatch::new(self.cx.clone(), call.clone(), pool, route).with_old_versions(old_versions)
     }
 
     /// The state of a pool, updated to its current members.
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -22,12 +22,17 @@
     server_attempts::LimitedServer,
 };
 
+/// The number of backend servers of a new version that are asked whether it may get the call.
+const MAX_LIMITED_ATTEMPTS: u32 = 2;
+
 /// The attempts of one call, with the combined failure of those that have ended.
 pub(crate) struct Dispatch {
     pub(crate) cx: Arc<NodeContext>,
     pub(crate) call: Arc<Call>,
     pub(crate) pool: Arc<PoolState>,
     pub(crate) route: Arc<RouteState>,
+    /// The old versions, while the call may still be moved to them.
+    old_versions: Option<Arc<PoolState>>,
     tried: Vec<ServerId>,
     attempts: u32,
     sends: u32,
@@ -46,6 +51,7 @@
             call,
             pool,
             route,
+            old_versions: None,
             tried: Vec::new(),
             attempts: 0,
             sends: 0,
@@ -53,11 +59,21 @@
         }
     }
 
+    /// Sets the pool that takes the call if the new version of its service may get no more calls.
+    pub(crate) fn with_old_versions(mut self, old_versions: Option<Arc<PoolState>>) -> Self {
+        self.old_versions = old_versions;
+        self
+    }
+
     /// Sends a call until an attempt is answered or no retry is allowed.
     pub(crate) async fn run(
         &mut self,
         req: &mut ReplayableRequest,
     ) -> Result<Response<Body>, CallFailure> {
+        if !req.is_fully_buffered() {
+            // It could not be sent again if the new version may get no more calls.
+            self.move_to_old_versions();
+        }
         loop {
             if let Some(wait) = self.refusal_wait() {
                 self.record_limited_server();
@@ -65,6 +81,9 @@
                 return Err(combine(self.failure.take(), limited));
             }
             let Some(tracker) = self.start_attempt() else {
+                if self.sends == 0 && self.move_to_old_versions() {
+                    continue;
+                }
                 let none = || refusal(RefusalReason::NoServer);
                 return Err(self.failure.take().unwrap_or_else(none));
             };
@@ -85,6 +104,13 @@
                     self.pool.deposit();
                     return Ok(resp);
                 }
+                Err(failure) if self.is_over_allowance(&failure) => {
+                    self.log_retry(self.cx.clock().now(), &failure);
+                    let has_other = self.pool.has_untried(&self.tried);
+                    if self.attempts >= MAX_LIMITED_ATTEMPTS || !has_other {
+                        self.move_to_old_versions();
+                    }
+                }
                 Err(failure) => {
                     let retries = self.decide_retry(&failure) && req.can_send();
                     let combined = combine(self.failure.take(), failure);
@@ -100,6 +126,27 @@
         }
     }
 
+    /// Whether the new version of the service may get no more calls, and the old ones can take the call.
+    fn is_over_allowance(&self, failure: &CallFailure) -> bool {
+        failure.reason() == RefusalReason::AllowanceSpent
+            && self.sends == 0
+            && self.old_versions.is_some()
+    }
+
+    /// Goes on with the old versions of the service, unless the call is there already. No backend server must have
+    /// received the call.
+    fn move_to_old_versions(&mut self) -> bool {
+        let Some(pool) = self.old_versions.take() else {
+            return false;
+        };
+        self.call = Arc::new(self.call.moved_to_old_versions());
+        self.pool = pool;
+        self.tried.clear();
+        self.attempts = 0;
+        self.failure = None;
+        true
+    }
+
     /// The time until there is room if all backend servers that were not tried are known to refuse
     /// the call because of their limits on the rate.
     fn refusal_wait(&self) -> Option<Duration> {
@@ -310,6 +357,7 @@
     .with_request(call.route.class, call.fingerprint)
     .with_limits(call.deadline, queue_timeout)
     .with_priority(call.route.priority, call.objective)
+    .with_rollout(call.rollout)
 }
 
 /// Whether responses to calls of a class are resumed after they were cut off.
--- a/trefoillock-core/src/lib.rs
+++ b/trefoillock-core/src/lib.rs
@@ -38,6 +38,7 @@
 mod raw_tables;
 mod request_limits;
 mod rollout;
+mod rollout_allowance;
 mod route;
 mod share;
 mod stable_hash;
@@ -67,6 +68,7 @@
 };
 pub use request_limits::RequestLimits;
 pub use rollout::{Rollout, RolloutProgress, RolloutShare, RolloutState, RolloutStep};
+pub use rollout_allowance::{AllowancePart, AllowancePurpose, RolloutAllowance, RolloutLimits};
 pub use route::{
     DEFAULT_MAX_ATTEMPTS, DEFAULT_PRIORITY, Method, PathPrefix, PoolWeight, Route, RouteClass,
     RouteMatch, ServiceTarget,
--- a/trefoillock-core/src/outcome.rs
+++ b/trefoillock-core/src/outcome.rs
@@ -69,6 +69,8 @@
     RateLimited,
     /// The link of the destination's VM is full, so that the response would come too late.
     LinkFull,
+    /// The version of the backend server is being rolled out and may get no more calls for now.
+    AllowanceSpent,
     /// The deadline passed.
     Deadline,
     /// The destination could not be reached.
@@ -109,6 +111,7 @@
             Self::Overloaded => "overloaded",
             Self::RateLimited => "rate-limited",
             Self::LinkFull => "link-full",
+            Self::AllowanceSpent => "allowance-spent",
             Self::Deadline => "deadline",
             Self::Unreachable => "unreachable",
             Self::Draining => "draining",
@@ -141,6 +144,7 @@
             | Self::Overloaded
             | Self::RateLimited
             | Self::LinkFull
+            | Self::AllowanceSpent
             | Self::Unreachable
             | Self::Draining
             | Self::RefusedByServer
--- a/trefoillock-core/src/rollout.rs
+++ b/trefoillock-core/src/rollout.rs
@@ -4,7 +4,10 @@
 
 use trefoillock_macros::data;
 
-use crate::{MoveId, PoolEvidence, PoolVersions, ServiceName, Share, Timestamp, VersionLabel};
+use crate::{
+    MoveId, PoolEvidence, PoolVersions, RolloutAllowance, ServiceName, Share, Timestamp,
+    VersionLabel,
+};
 
 /// The state of a rollout.
 #[data(key)]
@@ -52,6 +55,9 @@
     /// run one of them get no calls. The oldest comes first.
     #[serde(default)]
     pub rejected: Vec<VersionLabel>,
+    /// The calls that the new version may get while the rollout runs.
+    #[serde(default)]
+    pub allowance: RolloutAllowance,
     /// What the leader last recorded of its progress.
     #[serde(default)]
     pub progress: RolloutProgress,
@@ -98,6 +104,10 @@
     /// The versions that get no calls because their rollouts were rolled back.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rejected: Vec<VersionLabel>,
+    /// The calls that the new version may get; `None` if they are not limited, because the rollout
+    /// has completed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allowance: Option<RolloutAllowance>,
 }
 
 impl RolloutShare {
@@ -117,7 +127,13 @@
 
 impl From<&Rollout> for RolloutShare {
     fn from(rollout: &Rollout) -> Self {
+        let allowance = match rollout.state {
+            RolloutState::Running => Some(rollout.allowance.clone()),
+            RolloutState::RolledBack => Some(RolloutAllowance::default()),
+            RolloutState::Completed => None,
+        };
         Self {
+            allowance,
             id: rollout.id,
             step: rollout.step,
             version: rollout.version.clone(),
--- a/trefoillock-moves/src/rollout_controller.rs
+++ b/trefoillock-moves/src/rollout_controller.rs
@@ -1,13 +1,25 @@
 //! Decides on the rollouts of all services.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use trefoillock_core::{
-    Evidence, Members, MoveId, Rollout, RolloutProgress, RolloutStep, ServiceName, Timestamp,
+    Evidence, Member, Members, MoveId, Rollout, RolloutAllowance, RolloutLimits, RolloutProgress,
+    RolloutStep, ServiceName, Timestamp,
 };
 
 use crate::rollout_tracker::{PROGRESS_INTERVAL, RolloutTracker};
 
+/// The reported calls of a rollout, and its limit for as many.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct RolloutCalls {
+    /// The calls of the service since the order.
+    pub service: u64,
+    /// Those of them that the new version got.
+    pub version: u64,
+    /// The calls that the new version may have got by now.
+    pub allowed: u64,
+}
+
 /// Decides the steps of rollouts.
 ///
 /// Times are measured from when this replica first saw a rollout, so the clock of the replica
@@ -19,6 +31,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct RolloutController {
     trackers: BTreeMap<MoveId, RolloutTracker>,
+    limits: RolloutLimits,
 }
 
 impl RolloutController {
@@ -28,6 +41,13 @@
         Self::default()
     }
 
+    /// Sets the limits within which the new version of a rollout must stay until it completes.
+    #[must_use]
+    pub const fn with_limits(mut self, limits: RolloutLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     /// Starts tracking rollouts that are new and stops tracking those that have ended.
     pub fn track(&mut self, now: Timestamp, rollouts: &BTreeMap<ServiceName, Rollout>) {
         let running = |id: &MoveId| {
@@ -40,6 +60,7 @@
             let tracker = self.trackers.entry(rollout.id);
             let tracker = tracker.or_insert_with(|| RolloutTracker::new(now));
             tracker.adopt(now, &rollout.progress);
+            tracker.observe_allowance(now, &rollout.allowance);
         }
     }
 
@@ -66,12 +87,45 @@
         running
             .filter_map(|rollout| {
                 let tracker = self.trackers.get(&rollout.id)?;
-                let has_servers = members.map(|members| has_servers(members, rollout));
+                let has_servers = members.map(|members| servers(members, rollout).next().is_some());
                 tracker.step(now, rollout, has_servers, has_converged)
             })
             .collect()
     }
 
+    /// Returns the allowances that must be extended now, before the steps that are due. An extension takes effect
+    /// once it is replicated; until then the next one is planned from the same state.
+    #[must_use]
+    pub fn due_allowances(
+        &self,
+        now: Timestamp,
+        rollouts: &BTreeMap<ServiceName, Rollout>,
+        members: &Members,
+    ) -> Vec<(MoveId, RolloutAllowance)> {
+        let running = rollouts.values().filter(|r| !r.state.is_final());
+        running
+            .filter_map(|rollout| {
+                let tracker = self.trackers.get(&rollout.id)?;
+                let servers: Vec<_> = servers(members, rollout)
+                    .map(|member| (member.id.clone(), member.node_incarnation))
+                    .collect();
+                let allowance = tracker.allowance(now, rollout, &servers, &self.limits)?;
+                Some((rollout.id, allowance))
+            })
+            .collect()
+    }
+
+    /// The calls of a rollout that this replica knows of; `None` if it does not track the rollout.
+    #[must_use]
+    pub fn calls(&self, id: MoveId) -> Option<RolloutCalls> {
+        let tracker = self.trackers.get(&id)?;
+        Some(RolloutCalls {
+            service: tracker.calls(),
+            version: tracker.new_calls(),
+            allowed: self.limits.allowed_calls(tracker.calls()),
+        })
+    }
+
     /// Returns the progress of the rollouts whose last record is old enough for another one.
     #[must_use]
     pub fn due_progress(
@@ -90,8 +144,12 @@
     }
 }
 
-fn has_servers(members: &Members, rollout: &Rollout) -> bool {
-    members.servers.values().any(|member| {
+/// The backend servers of the new version that are up.
+fn servers<'a>(
+    members: &'a Members,
+    rollout: &'a Rollout,
+) -> impl Iterator<Item = &'a Arc<Member>> {
+    members.servers.values().filter(|member| {
         let announced = &member.announcement;
         member.is_up()
             && announced.service == rollout.service
--- a/trefoillock-moves/src/rollout_tracker.rs
+++ b/trefoillock-moves/src/rollout_tracker.rs
@@ -1,18 +1,22 @@
 //! Schedule of a version's rollout, which takes only seconds.
 //!
-//! The share follows the time left until the deadline. A version that clearly fails or is clearly
-//! slow is rolled back at any time; it completes only if its calls at the full share show that it is
-//! good.
+//! The share follows the time left until the deadline; how many calls the version may get in all
+//! follows from the limits of the rollout, see [`crate::rollout_plan`]. A version that clearly fails or is
+//! clearly slow is rolled back at any time; it completes only if its calls at the full share show that
+//! it is good.
 
 use std::time::Duration;
 
 use trefoillock_core::{
-    MoveEvidence, PoolEvidence, Rollout, RolloutProgress, RolloutState, RolloutStep, Share,
-    Timestamp,
+    AllowancePurpose, Incarnation, MoveEvidence, PoolEvidence, Rollout, RolloutAllowance,
+    RolloutLimits, RolloutProgress, RolloutState, RolloutStep, ServerId, Share, Timestamp,
 };
 
-use crate::rollout_judgement::{
-    BadRate, Caution, count_bad_calls, describe_counts, is_proven_good, reason_to_roll_back,
+use crate::{
+    rollout_judgement::{
+        BadRate, Caution, count_bad_calls, describe_counts, is_proven_good, reason_to_roll_back,
+    },
+    rollout_plan::{CLOSING_TIME, FULL_SHARE_INTERVAL, RolloutPlan, full_share_time},
 };
 
 /// The time between two records of the progress of a rollout.
@@ -37,18 +41,13 @@
 const NO_CALLS_TIME: Duration = Duration::from_secs(3);
 /// Largest share while evidence is collected.
 const MAX_CANARY_SHARE: f64 = 0.25;
-/// Share between the canary and all calls.
-const RAMP_SHARE: f64 = 0.15;
-/// Time for which the share stays at [`RAMP_SHARE`].
-const RAMP_TIME: Duration = Duration::from_millis(700);
 /// Time that reports on the calls at the full share take to arrive.
-const REPORT_TIME: Duration = Duration::from_secs(1);
-/// Number of calls that the new version should get at the full share before the rollout completes.
-const TARGET_FULL_CALLS: f64 = 40.0;
+const REPORT_TIME: Duration = Duration::from_millis(1_250);
+/// Number of calls at the full share by which a version that is bad for some calls only can be told
+/// from a good one.
+const ENOUGH_FULL_CALLS: f64 = 44.0;
 /// Number of calls at the full share below which nothing can be proven by them.
 const MIN_PROOF_CALLS: f64 = 20.0;
-/// Longest time for [`TARGET_FULL_CALLS`].
-const MAX_FULL_CALLS_TIME: Duration = Duration::from_millis(1_800);
 /// Time before the deadline at which the rollout completes; calls to the old version have ended
 /// by then.
 const COMPLETE_BEFORE_DEADLINE: Duration = Duration::from_millis(600);
@@ -83,6 +82,8 @@
     old: PoolEvidence,
     new: PoolEvidence,
     stage: StageEvidence,
+    /// The last extension of the allowance, and when this replica learned of it.
+    extended: (u32, Timestamp),
 }
 
 impl RolloutTracker {
@@ -94,6 +95,14 @@
             old: PoolEvidence::default(),
             new: PoolEvidence::default(),
             stage: StageEvidence::default(),
+            extended: (0, now),
+        }
+    }
+
+    /// Notes when the allowance was last extended.
+    pub(crate) const fn observe_allowance(&mut self, now: Timestamp, allowance: &RolloutAllowance) {
+        if self.extended.0 != allowance.serial {
+            self.extended = (allowance.serial, now);
         }
     }
 
@@ -154,6 +163,49 @@
         })
     }
 
+    /// Returns the allowance that the next share needs, if it must be extended. `servers` are those of the
+    /// new version that are up, with the runs of their nodes.
+    pub(crate) fn allowance(
+        &self,
+        now: Timestamp,
+        rollout: &Rollout,
+        servers: &[(ServerId, Incarnation)],
+        limits: &RolloutLimits,
+    ) -> Option<RolloutAllowance> {
+        let (state, share, _) = self.decide(now, rollout, Some(!servers.is_empty()), false);
+        if state != RolloutState::Running || servers.is_empty() {
+            return None;
+        }
+        let elapsed = now.since(self.ordered_at);
+        let remaining = rollout
+            .deadline
+            .since(rollout.started)
+            .saturating_sub(elapsed);
+        let plan = RolloutPlan {
+            limits,
+            held: &rollout.allowance,
+            calls: self.calls(),
+            new_calls: self.new.calls,
+            call_rate: self.call_rate(now),
+        };
+        if share == Share::ZERO {
+            None
+        } else if share < Share::FULL {
+            plan.canary(share, servers)
+        } else if rollout.allowance.purpose == AllowancePurpose::Canary {
+            plan.full_share(servers)
+        } else if rollout.allowance.purpose == AllowancePurpose::Closing {
+            None
+        } else if remaining > COMPLETE_BEFORE_DEADLINE + CLOSING_TIME {
+            let is_due = now.since(self.extended.1) >= FULL_SHARE_INTERVAL;
+            plan.full_share_again(servers).filter(|_| is_due)
+        } else if self.is_proven_at_full_share(now, rollout) {
+            Some(plan.closing(servers))
+        } else {
+            None
+        }
+    }
+
     fn decide(
         &self,
         now: Timestamp,
@@ -165,10 +217,9 @@
         let elapsed = now.since(self.ordered_at);
         let remaining = duration.saturating_sub(elapsed);
         let rolled_back = |reason: String| (RolloutState::RolledBack, Share::ZERO, reason);
-        let caution = if rollout.share == Share::FULL {
-            Caution::Raising
-        } else {
-            Caution::Running
+        let caution = match rollout.allowance.purpose {
+            AllowancePurpose::Canary | AllowancePurpose::FullShare => Caution::Running,
+            AllowancePurpose::Closing => Caution::Raising,
         };
         if let Some(reason) = self.reason_to_roll_back(caution) {
             return rolled_back(reason);
@@ -186,8 +237,10 @@
             return rolled_back(format!("not proven by the deadline: {}", self.describe()));
         }
         let is_settled = has_converged || remaining <= STOP_WAITING_BEFORE_DEADLINE;
+        let has_closed = rollout.allowance.purpose == AllowancePurpose::Closing
+            || remaining <= STOP_WAITING_BEFORE_DEADLINE;
         let may_complete = rollout.share == Share::FULL && remaining <= COMPLETE_BEFORE_DEADLINE;
-        if may_complete && is_settled && self.is_proven_at_full_share(now, rollout) {
+        if may_complete && has_closed && is_settled && self.is_proven_at_full_share(now, rollout) {
             return (RolloutState::Completed, Share::FULL, self.describe());
         }
         let share = self.share_at(now, rollout.share, duration, elapsed);
@@ -198,9 +251,7 @@
             if let Some(reason) = self.reason_to_roll_back(Caution::Raising) {
                 return rolled_back(reason);
             }
-            // The calls at the ramp share are hardly reported before the full share is due.
-            let is_canary = rollout.share < Share::from_fraction(RAMP_SHARE);
-            if is_canary && !self.has_enough_calls_at(rollout.share) {
+            if !self.has_enough_calls_at(rollout.share) {
                 return (RolloutState::Running, rollout.share, self.describe());
             }
         }
@@ -216,13 +267,14 @@
         elapsed: Duration,
     ) -> Share {
         let remaining = duration.saturating_sub(elapsed);
-        let full_time = self.full_time(now);
+        let full_time = COMPLETE_BEFORE_DEADLINE
+            + CLOSING_TIME
+            + REPORT_TIME
+            + full_share_time(self.call_rate(now));
         let share = if current == Share::ZERO {
             self.first_share(now, duration, elapsed)
         } else if remaining <= full_time {
             Share::FULL
-        } else if remaining <= full_time + RAMP_TIME {
-            Share::from_fraction(RAMP_SHARE)
         } else {
             current
         };
@@ -253,15 +305,6 @@
         calls / (observed.unwrap_or_default() + FIRST_REPORT_SPAN).as_secs_f64()
     }
 
-    /// Time before the deadline at which the new version gets all calls. It is longer for services with
-    /// few calls, and as short as it can be for the others, since a version may turn bad late.
-    fn full_time(&self, now: Timestamp) -> Duration {
-        let min_rate = TARGET_FULL_CALLS / MAX_FULL_CALLS_TIME.as_secs_f64();
-        let rate = self.call_rate(now).max(min_rate);
-        let calls_time = Duration::from_secs_f64(TARGET_FULL_CALLS / rate);
-        COMPLETE_BEFORE_DEADLINE + REPORT_TIME + calls_time
-    }
-
     /// Whether enough calls of the new version have ended to go on from a share below the full one.
     #[expect(clippy::cast_precision_loss, reason = "counts of calls are small")]
     fn has_enough_calls_at(&self, share: Share) -> bool {
@@ -269,19 +312,33 @@
         is_enough(self.new.calls, expected * ENOUGH_CANARY_PART)
     }
 
+    /// The calls of the service that this replica knows of.
+    pub(crate) const fn calls(&self) -> u64 {
+        self.old.calls + self.new.calls
+    }
+
+    /// Those of them that the new version got.
+    pub(crate) const fn new_calls(&self) -> u64 {
+        self.new.calls
+    }
+
     /// Whether the calls that were assigned at the full share show that the version is good. A service
     /// with too few calls for that must at least have had none that was bad.
+    #[expect(clippy::cast_precision_loss, reason = "counts of calls are small")]
     fn is_proven_at_full_share(&self, now: Timestamp, rollout: &Rollout) -> bool {
         let empty = PoolEvidence::default();
         let is_current = self.stage.step == rollout.step;
         let new = if is_current { &self.stage.new } else { &empty };
-        let reported_time = self.full_time(now).saturating_sub(REPORT_TIME);
-        let expected = self.call_rate(now) * reported_time.as_secs_f64();
-        if expected < MIN_PROOF_CALLS {
+        let rate = self.call_rate(now);
+        let full_share_time = full_share_time(rate);
+        let until_completion = full_share_time + COMPLETE_BEFORE_DEADLINE;
+        let expected = rate * until_completion.as_secs_f64();
+        let calls = (new.calls as f64).max(rate * full_share_time.as_secs_f64());
+        if calls < MIN_PROOF_CALLS {
             let has_enough_calls = is_enough(new.calls, expected * ENOUGH_FULL_PART);
             return has_enough_calls && count_bad_calls(&self.old, new) == 0;
         }
-        let bad_rate = if expected < TARGET_FULL_CALLS {
+        let bad_rate = if calls < ENOUGH_FULL_CALLS {
             BadRate::High
         } else {
             BadRate::Low
--- /dev/null
+++ b/trefoillock-moves/tests/rollouts/harness.rs
@@ -0,0 +1,494 @@
+//! Simulates a rollout of a few seconds: a leader, nodes that learn of its decisions, servers of both versions
+//! and callers.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use trefoillock_core::{
+    Announcement, DataCentre, Evidence, Incarnation, Member, MemberState, Members, MoveEvidence,
+    MoveId, NodeId, Rollout, RolloutAllowance, RolloutProgress, RolloutShare, RolloutState,
+    ServerId, ServiceName, Share, Timestamp, VersionLabel,
+};
+use trefoillock_moves::RolloutController;
+use trefoillock_policy::{RolloutClaim, RolloutLedger, VersionCall};
+
+/// Number of time steps that evidence takes from the nodes to the leader.
+pub(crate) const EVIDENCE_DELAY_STEPS: usize = 3;
+/// The same where the nodes are two relays away from the leader, and each report waits its longest.
+pub(crate) const LONG_EVIDENCE_DELAY_STEPS: usize = 6;
+const TIME_STEP: Duration = Duration::from_millis(250);
+/// Time from the order of a rollout to its deadline, unless a test needs another one.
+pub(crate) const DURATION: Duration = Duration::from_secs(16);
+/// The fraction of calls that fail in a good version.
+const BASE_FAILURE_RATE: f64 = 0.004;
+/// Calls that a bad version may get by the users' rule: a fraction of the calls until the
+/// deadline, plus a fixed number.
+const MAX_EXPOSURE: (f64, f64) = (0.1, 50.0);
+
+/// How the new version behaves from a time after its start, and from a share of the calls: the
+/// fraction of calls that are affected, and how.
+#[derive(Clone, Copy)]
+pub(crate) struct Behaviour {
+    pub(crate) affected: f64,
+    pub(crate) effect: Effect,
+    pub(crate) since: Duration,
+    pub(crate) min_share: f64,
+}
+
+/// What an affected call suffers.
+#[derive(Clone, Copy)]
+pub(crate) enum Effect {
+    Fails,
+    Takes { factor: f64 },
+}
+
+pub(crate) const GOOD: Behaviour = Behaviour {
+    affected: 0.0,
+    effect: Effect::Fails,
+    since: Duration::ZERO,
+    min_share: 0.0,
+};
+
+/// What happens to the leader, to the evidence on its way and to the rate of calls.
+#[derive(Clone, Copy)]
+pub(crate) struct Disturbance {
+    /// The time from the order to the deadline.
+    pub(crate) duration: Duration,
+    pub(crate) evidence_delay_steps: usize,
+    /// The number of time steps after which the nodes learn of a decision.
+    pub(crate) learning_delay_steps: usize,
+    /// When the process of the leader restarts.
+    pub(crate) restart_at: Option<Duration>,
+    /// The time for which the leader neither decides nor takes evidence.
+    pub(crate) leader_pause: (Duration, Duration),
+    /// The time before which no evidence reaches the leader.
+    pub(crate) evidence_lost_until: Duration,
+    /// When the rate of calls triples.
+    pub(crate) burst_at: Duration,
+}
+
+pub(crate) const CALM: Disturbance = Disturbance {
+    duration: DURATION,
+    evidence_delay_steps: EVIDENCE_DELAY_STEPS,
+    learning_delay_steps: 0,
+    restart_at: None,
+    leader_pause: (Duration::ZERO, Duration::ZERO),
+    evidence_lost_until: Duration::ZERO,
+    burst_at: Duration::MAX,
+};
+
+/// The leader stands still while the new version is due for all calls.
+pub(crate) const LEADER_PAUSE: (Duration, Duration) =
+    (Duration::from_millis(13_750), Duration::from_millis(15_750));
+pub(crate) const LOST_UNTIL: Duration = Duration::from_secs(4);
+pub(crate) const LATE_BURST: Duration = Duration::from_secs(13);
+/// The factor by which the rate of calls grows in a burst.
+const BURST_FACTOR: f64 = 3.0;
+
+impl Disturbance {
+    fn pauses_leader(&self, elapsed: Duration) -> bool {
+        (self.leader_pause.0..self.leader_pause.1).contains(&elapsed)
+    }
+
+    fn calls_per_step(&self, rate: f64, elapsed: Duration) -> f64 {
+        let factor = if elapsed >= self.burst_at {
+            BURST_FACTOR
+        } else {
+            1.0
+        };
+        rate * factor * TIME_STEP.as_secs_f64()
+    }
+
+    /// The calls from the order to the deadline.
+    fn calls(&self, rate: f64) -> f64 {
+        let mut calls = 0.0;
+        let mut elapsed = Duration::ZERO;
+        while elapsed < self.duration {
+            calls += self.calls_per_step(rate, elapsed);
+            elapsed += TIME_STEP;
+        }
+        calls
+    }
+}
+
+/// What became of a rollout, and the calls that its new version got until it completed.
+pub(crate) struct Outcome {
+    pub(crate) state: RolloutState,
+    pub(crate) at: Duration,
+    pub(crate) exposed: f64,
+    pub(crate) calls: f64,
+}
+
+impl Outcome {
+    /// The calls that the new version may get until the rollout completes.
+    pub(crate) fn max_exposed(&self) -> f64 {
+        MAX_EXPOSURE.0 * self.calls + MAX_EXPOSURE.1
+    }
+}
+
+/// The backend servers of the new version, each with a node of its own.
+const SERVERS: usize = 3;
+
+fn server_id(at: usize) -> ServerId {
+    ServerId {
+        node: NodeId::try_from(format!("node-{at}")).expect("a name"),
+        address: ([127, 0, 0, 1], 8_000).into(),
+    }
+}
+
+fn members() -> Members {
+    let members = (0..SERVERS).map(|at| {
+        let id = server_id(at);
+        let member = Member {
+            id: id.clone(),
+            announcement: Announcement {
+                address: id.address,
+                service: service(),
+                version: new_version(),
+                incarnation: Incarnation::new(1),
+                slots: 9,
+                connections: 18,
+                state: MemberState::Up,
+                instance: None,
+            },
+            peer_address: id.address,
+            data_centre: DataCentre::try_from("dc").expect("a name"),
+            node_incarnation: Incarnation::new(1),
+        };
+        (id, Arc::new(member))
+    });
+    Members {
+        servers: members.collect(),
+        ..Members::default()
+    }
+}
+
+fn service() -> ServiceName {
+    ServiceName::try_from("desk").expect("a name")
+}
+
+fn new_version() -> VersionLabel {
+    VersionLabel::try_from("v2").expect("a name")
+}
+
+/// The nodes: one that callers use, and those beside the servers of the new version. They learn of a step
+/// or an allowance some time after the leader has taken it.
+struct Nodes {
+    entry: RolloutShare,
+    ledgers: Vec<RolloutLedger>,
+    on_the_way: Vec<RolloutShare>,
+    delay_steps: usize,
+}
+
+impl Nodes {
+    fn new(delay_steps: usize, rollout: &Rollout) -> Self {
+        let ledgers = (0..SERVERS).map(|at| {
+            let node = server_id(at).node;
+            RolloutLedger::new(node, Incarnation::new(1))
+        });
+        Self {
+            entry: RolloutShare::from(rollout),
+            ledgers: ledgers.collect(),
+            on_the_way: Vec::new(),
+            delay_steps,
+        }
+    }
+
+    fn learn(&mut self, now: Timestamp, rollout: &Rollout) {
+        self.on_the_way.push(RolloutShare::from(rollout));
+        if self.on_the_way.len() > self.delay_steps {
+            self.entry = self.on_the_way.remove(0);
+            let rollouts = BTreeMap::from([(service(), self.entry.clone())]);
+            for ledger in &mut self.ledgers {
+                ledger.observe(now, &rollouts);
+            }
+        }
+    }
+
+    /// Returns whether a call is sent to a server of the new version.
+    fn sends_to_new(&mut self, now: Timestamp, rng: &mut Pcg64Mcg) -> bool {
+        if rng.random::<f64>() >= self.entry.share.fraction() {
+            return false;
+        }
+        let claim = RolloutClaim {
+            id: self.entry.id,
+            is_limited: self.entry.allowance.is_some(),
+        };
+        let first = rng.random_range(0..SERVERS);
+        let mut servers = [first, (first + 1) % SERVERS].into_iter();
+        servers.any(|at| {
+            let call = VersionCall {
+                service: &service(),
+                version: &new_version(),
+                address: server_id(at).address,
+                claim: Some(claim),
+            };
+            self.ledgers[at].charge(now, &call).is_ok()
+        })
+    }
+}
+
+/// Applies what the leader decides.
+fn lead(
+    now: Timestamp,
+    controller: &RolloutController,
+    rollouts: &mut BTreeMap<ServiceName, Rollout>,
+) {
+    let members = members();
+    let allowances = controller.due_allowances(now, rollouts, &members);
+    let steps = controller.decide(now, rollouts, Some(&members), true);
+    let progress = controller.due_progress(now, rollouts);
+    let rollout = rollouts.get_mut(&service()).expect("the rollout");
+    for (_, allowance) in allowances {
+        assert_eq!(allowance.serial, rollout.allowance.serial + 1);
+        assert!(allowance.granted() >= rollout.allowance.granted());
+        if std::env::var("DBG").is_ok() {
+            println!(
+                "{:?} {:?} granted {} share {}",
+                now,
+                allowance.purpose,
+                allowance.granted(),
+                rollout.share
+            );
+        }
+        rollout.allowance = allowance;
+    }
+    for step in steps {
+        assert_eq!(step.step, rollout.step + 1);
+        rollout.step = step.step;
+        if std::env::var("DBG").is_ok() {
+            println!("{:?} step {:?} {}", now, step.state, step.evidence);
+        }
+        rollout.state = step.state;
+        rollout.share = step.share;
+    }
+    for (_, progress) in progress {
+        rollout.progress = progress;
+    }
+}
+
+/// Records a call as its version handles it.
+fn record_call(
+    evidence: &mut MoveEvidence,
+    is_new: bool,
+    behaviour: Behaviour,
+    is_affected: bool,
+    rng: &mut Pcg64Mcg,
+) {
+    let (failure_rate, latency_factor) = match behaviour.effect {
+        Effect::Fails if is_affected => (1.0, 1.0),
+        Effect::Takes { factor } if is_affected => (BASE_FAILURE_RATE, factor),
+        Effect::Fails | Effect::Takes { .. } => (BASE_FAILURE_RATE, 1.0),
+    };
+    let pool = if is_new {
+        &mut evidence.new
+    } else {
+        &mut evidence.old
+    };
+    if rng.random::<f64>() < failure_rate {
+        pool.record_failure();
+    } else {
+        let time = 0.16 * latency_factor * (0.6 + 0.8 * rng.random::<f64>());
+        pool.record_answer(Duration::from_secs_f64(time));
+    }
+}
+
+pub(crate) fn run(rate: f64, behaviour: Behaviour, disturbance: Disturbance, seed: u64) -> Outcome {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let start = Timestamp::from_secs(1_000);
+    // The clock of the replica that accepted the order is one hour ahead.
+    let ordered = start + Duration::from_hours(1);
+    let rollout = Rollout {
+        id: MoveId::new(1),
+        service: service(),
+        version: new_version(),
+        started: ordered,
+        deadline: ordered + disturbance.duration,
+        state: RolloutState::Running,
+        share: Share::ZERO,
+        step: 0,
+        evidence: String::new(),
+        rejected: Vec::new(),
+        allowance: RolloutAllowance::default(),
+        progress: RolloutProgress::default(),
+    };
+    let mut nodes = Nodes::new(disturbance.learning_delay_steps, &rollout);
+    let mut rollouts = BTreeMap::from([(service(), rollout)]);
+    let mut controller = RolloutController::new();
+    let mut in_transit: Vec<Evidence> = Vec::new();
+    let mut outcome = Outcome {
+        state: RolloutState::Running,
+        at: disturbance.duration,
+        exposed: 0.0,
+        calls: disturbance.calls(rate),
+    };
+    let mut elapsed = Duration::ZERO;
+    while elapsed < disturbance.duration {
+        let now = start + elapsed;
+        if disturbance.restart_at == Some(elapsed) {
+            controller = RolloutController::new();
+            in_transit.clear();
+        }
+        let is_leading = !disturbance.pauses_leader(elapsed);
+        if is_leading {
+            controller.track(now, &rollouts);
+        }
+        nodes.learn(now, &rollouts[&service()]);
+        let mut evidence = MoveEvidence {
+            step: nodes.entry.step,
+            ..MoveEvidence::default()
+        };
+        let calls = disturbance.calls_per_step(rate, elapsed);
+        let mut remaining =
+            calls.floor() + f64::from(u8::from(rng.random::<f64>() < calls.fract()));
+        while remaining >= 1.0 {
+            remaining -= 1.0;
+            let is_new = nodes.sends_to_new(now, &mut rng);
+            outcome.exposed += f64::from(u8::from(is_new));
+            let is_affected = is_new
+                && elapsed >= behaviour.since
+                && nodes.entry.share.fraction() >= behaviour.min_share
+                && rng.random::<f64>() < behaviour.affected;
+            record_call(&mut evidence, is_new, behaviour, is_affected, &mut rng);
+        }
+        let moves = BTreeMap::from([(MoveId::new(1), evidence)]);
+        in_transit.push(Evidence {
+            moves,
+            ..Evidence::default()
+        });
+        if elapsed < disturbance.evidence_lost_until {
+            in_transit.clear();
+        }
+        elapsed += TIME_STEP;
+        if !is_leading {
+            continue;
+        }
+        while in_transit.len() > disturbance.evidence_delay_steps {
+            controller.add_evidence(now, &in_transit.remove(0));
+        }
+        lead(now, &controller, &mut rollouts);
+        let state = rollouts[&service()].state;
+        if state == RolloutState::RolledBack && outcome.state == RolloutState::Running {
+            outcome.state = state;
+            outcome.at = now.since(start);
+        }
+        if state == RolloutState::Completed {
+            outcome.state = state;
+            outcome.at = now.since(start);
+            break;
+        }
+    }
+    outcome
+}
+
+/// Half of the calls fail or take eight times as long.
+pub(crate) const fn half(effect: Effect, since: Duration, min_share: f64) -> Behaviour {
+    Behaviour {
+        affected: 0.5,
+        effect,
+        since,
+        min_share,
+    }
+}
+
+pub(crate) const SLOW: Effect = Effect::Takes { factor: 8.0 };
+
+/// The disturbances of the matrix, by name.
+pub(crate) fn disturbances() -> Vec<(&'static str, Disturbance)> {
+    let restart = |seconds| Disturbance {
+        restart_at: Some(Duration::from_secs(seconds)),
+        ..CALM
+    };
+    let lost = Disturbance {
+        evidence_lost_until: LOST_UNTIL,
+        ..CALM
+    };
+    let burst = Disturbance {
+        burst_at: LATE_BURST,
+        ..CALM
+    };
+    vec![
+        ("none", CALM),
+        (
+            "deadline after 8 s",
+            Disturbance {
+                duration: Duration::from_secs(8),
+                ..CALM
+            },
+        ),
+        (
+            "evidence after 1.5 s",
+            Disturbance {
+                evidence_delay_steps: LONG_EVIDENCE_DELAY_STEPS,
+                learning_delay_steps: 1,
+                ..CALM
+            },
+        ),
+        (
+            "nodes learn after 2 s",
+            Disturbance {
+                learning_delay_steps: 8,
+                ..CALM
+            },
+        ),
+        ("leader restarts at 2 s", restart(2)),
+        ("leader restarts at 12 s", restart(12)),
+        ("leader restarts at 14 s", restart(14)),
+        (
+            "leader stands still",
+            Disturbance {
+                leader_pause: LEADER_PAUSE,
+                ..CALM
+            },
+        ),
+        ("burst at 13 s", burst),
+        (
+            "burst, late evidence",
+            Disturbance {
+                evidence_delay_steps: LONG_EVIDENCE_DELAY_STEPS,
+                ..burst
+            },
+        ),
+        ("no evidence for 4 s", lost),
+        (
+            "the same, leader still",
+            Disturbance {
+                leader_pause: LEADER_PAUSE,
+                ..lost
+            },
+        ),
+    ]
+}
+
+/// The behaviours of the matrix, by name.
+pub(crate) fn behaviours() -> Vec<(&'static str, Behaviour)> {
+    let at_full_share = |affected, effect| Behaviour {
+        affected,
+        ..half(effect, Duration::ZERO, 1.0)
+    };
+    let half_from = |millis| half(Effect::Fails, Duration::from_millis(millis), 0.0);
+    vec![
+        ("good", GOOD),
+        ("half fails from 6 s", half_from(6_000)),
+        ("half fails from 13 s", half_from(13_000)),
+        ("half fails from 14 s", half_from(14_000)),
+        ("half fails from 14.5 s", half_from(14_500)),
+        (
+            "half fails at full share",
+            at_full_share(0.5, Effect::Fails),
+        ),
+        ("half slow at full share", at_full_share(0.5, SLOW)),
+        (
+            "1/7 fails at full share",
+            at_full_share(1.0 / 7.0, Effect::Fails),
+        ),
+        (
+            "1/10 fails at full share",
+            at_full_share(0.1, Effect::Fails),
+        ),
+    ]
+}
+
+/// The rates of the matrix, in calls per second.
+pub(crate) const RATES: [f64; 8] = [1.0, 4.0, 8.0, 15.0, 35.0, 64.0, 290.0, 600.0];
--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 use trefoillock_backend::{Body, CallFailure, LATE_BODY_TIME, LocalServers};
-use trefoillock_core::{DataCentre, Incarnation, Member, NodeId};
-use trefoillock_policy::RolloutLedger;
+use trefoillock_core::{Config, DataCentre, Incarnation, Member, NodeId};
+use trefoillock_policy::{RolloutLedger, VersionCalls};
 use trefoillock_process::{CallSettings, Clock};
 use trefoillock_rpc::Token;
 
@@ -53,6 +53,7 @@
         let guards = Guards::new(node.clone(), incarnation, clock, token.clone());
         Self {
             guards: Arc::new(guards),
+            rollouts: Mutex::new(RolloutLedger::new(node.clone(), incarnation)),
             node,
             incarnation,
             data_centre,
@@ -66,7 +67,6 @@
             call_settings: CallSettings::default(),
             call_log: CallLog::default(),
             link: None,
-            rollouts: Mutex::new(RolloutLedger::new()),
             cut_at: OnceLock::new(),
         }
     }
@@ -125,8 +125,15 @@
         &self.call_settings
     }
 
+    /// Replaces the configuration unless `config` is the same version or an older one. Returns the calls of the local
+    /// backend servers whose rollouts have taken a step; `None` if the configuration was not replaced.
+    pub fn apply_config(&self, config: &Arc<Config>) -> Option<Vec<VersionCalls>> {
+        let is_newer = self.view.set_config(config.clone());
+        is_newer.then(|| self.rollouts().observe(self.clock.now(), config.rollouts()))
+    }
+
     /// The calls that the local backend servers got of the new versions of rollouts.
-    pub fn rollouts(&self) -> MutexGuard<'_, RolloutLedger> {
+    pub(crate) fn rollouts(&self) -> MutexGuard<'_, RolloutLedger> {
         self.rollouts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/trefoillock-node/src/delivery.rs
+++ b/trefoillock-node/src/delivery.rs
@@ -5,17 +5,22 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use tokio::time::Instant;
 use trefoillock_core::{
-    CallRate, DEFAULT_PRIORITY, Fingerprint, Incarnation, RouteClass, ServerId, ServiceName,
-    VersionLabel, headers,
+    CallRate, DEFAULT_PRIORITY, Fingerprint, Incarnation, MoveId, RouteClass, ServerId,
+    ServiceName, VersionLabel, headers,
 };
-use trefoillock_policy::Demand;
+use trefoillock_policy::{Demand, RolloutClaim, VersionCall};
 use trefoillock_process::Clock;
 
 use crate::headers::{
-    CLASS, FINGERPRINT, KNOWN_LIMIT, OBJECTIVE_MS, QUEUE_MS, RANK, SERVER, SERVICE, VERSION,
-    header_text,
+    CLASS, FINGERPRINT, KNOWN_LIMIT, OBJECTIVE_MS, QUEUE_MS, RANK, ROLLOUT, SERVER, SERVICE,
+    VERSION, header_text,
 };
 
+/// The state in [`ROLLOUT`] of a rollout whose new version gets a limited number of calls.
+const LIMITED_ROLLOUT: &str = "limited";
+/// The state in [`ROLLOUT`] of a rollout that has completed.
+const COMPLETED_ROLLOUT: &str = "completed";
+
 /// The limit on the rate of calls to a backend server that an entry node knows. A destination node
 /// that has restarted learns it so before the backend server states it again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,6 +55,8 @@
     pub objective: Option<Instant>,
     /// The limit on the rate of calls that the entry node knows; `None` if it knows none.
     pub known_limit: Option<KnownLimit>,
+    /// The rollout by which the entry node chose the new version; `None` if it did not.
+    pub rollout: Option<RolloutClaim>,
 }
 
 impl Delivery {
@@ -68,6 +75,24 @@
             rank: DEFAULT_PRIORITY,
             objective: None,
             known_limit: None,
+            rollout: None,
+        }
+    }
+
+    /// Sets the rollout by which the entry node chose the new version.
+    #[must_use]
+    pub const fn with_rollout(mut self, rollout: Option<RolloutClaim>) -> Self {
+        self.rollout = rollout;
+        self
+    }
+
+    /// What counts of the call for the rollout of a version.
+    pub(crate) const fn version_call(&self) -> VersionCall<'_> {
+        VersionCall {
+            service: &self.service,
+            version: &self.version,
+            address: self.address,
+            claim: self.rollout,
         }
     }
 
@@ -134,6 +159,14 @@
             let text = format!("{},{}", known.rate.micros_per_s(), known.incarnation);
             set_header(map, KNOWN_LIMIT, &text);
         }
+        if let Some(claim) = self.rollout {
+            let state = if claim.is_limited {
+                LIMITED_ROLLOUT
+            } else {
+                COMPLETED_ROLLOUT
+            };
+            set_header(map, ROLLOUT, &format!("{},{state}", claim.id));
+        }
     }
 
     /// Reads a delivery from the headers of a call between nodes; `None` if a required header is
@@ -158,6 +191,7 @@
             objective: number(OBJECTIVE_MS)
                 .and_then(|millis| Instant::now().checked_add(Duration::from_millis(millis))),
             known_limit: read_known_limit(map),
+            rollout: read_rollout(map),
         })
     }
 }
@@ -170,6 +204,14 @@
     })
 }
 
+fn read_rollout(map: &HeaderMap) -> Option<RolloutClaim> {
+    let (id, state) = header_text(map, ROLLOUT)?.split_once(',')?;
+    Some(RolloutClaim {
+        id: MoveId::new(id.parse().ok()?),
+        is_limited: state != COMPLETED_ROLLOUT,
+    })
+}
+
 /// Sets a header whose value is known to be printable.
 fn set_header(map: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -10,6 +10,7 @@
     NotExecuted,
 };
 use trefoillock_core::{CrashReport, RefusalReason, RouteClass, ServerId};
+use trefoillock_policy::AllowanceSpent;
 
 use crate::{
     CallLine, Delivery, NodeContext, ServerReport, detached_body::detach_body,
@@ -34,6 +35,9 @@
     let server = find_server(cx, &delivery).inspect_err(|failure| {
         log_failure(cx, &id, &delivery, failure, None, arrived);
     })?;
+    charge_rollout(cx, &delivery).inspect_err(|failure| {
+        log_failure(cx, &id, &delivery, failure, None, arrived);
+    })?;
     if let Some(known) = delivery.known_limit
         && known.incarnation == server.announcement().incarnation
     {
@@ -91,6 +95,16 @@
     })
 }
 
+/// Counts a call against what the version of the backend server may get while it is rolled out.
+fn charge_rollout(cx: &NodeContext, delivery: &Delivery) -> Result<(), CallFailure> {
+    let now = cx.clock().now();
+    let charged = cx.rollouts().charge(now, &delivery.version_call());
+    charged.map_err(|AllowanceSpent| {
+        let proof = NotExecuted::nothing_written();
+        CallFailure::did_not_run(RefusalReason::AllowanceSpent, proof)
+    })
+}
+
 /// Sends a call to the backend server, and reports a crash if its connection was lost.
 async fn exchange(
     cx: Arc<NodeContext>,
@@ -115,8 +129,6 @@
         incarnation: server.announcement().incarnation,
     };
     let arrived = Instant::now();
-    let (service, version) = (&delivery.service, &delivery.version);
-    cx.rollouts().record(service, version, delivery.address);
     match server.call(req, limits).await {
         Ok(mut resp) => {
             strip_hop_by_hop(resp.headers_mut());
@@ -135,7 +147,7 @@
         }
         Err(failure) => {
             if !failure.may_have_reached_server() {
-                cx.rollouts().withdraw(service, version, delivery.address);
+                cx.rollouts().withdraw(&delivery.version_call());
             }
             log_failure(&cx, &id, &delivery, &failure, Some(&server), arrived);
             if failure.crash() == Crash::Yes {
--- a/trefoillock-node/src/headers.rs
+++ b/trefoillock-node/src/headers.rs
@@ -30,6 +30,9 @@
 /// per second, and the incarnation of the backend server that stated it.
 pub(crate) const KNOWN_LIMIT: &str = "trefoillock-known-limit";
 
+/// Between nodes: the rollout by which the entry node chose the new version of a service, and its state.
+pub(crate) const ROLLOUT: &str = "trefoillock-rollout";
+
 /// Headers that apply to a single connection (hop-by-hop headers).
 const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -45,7 +48,7 @@
 
 /// Headers that are removed from messages of callers and backend servers, because only nodes may
 /// set them.
-const INTERNAL: [&str; 21] = [
+const INTERNAL: [&str; 22] = [
     headers::OUTCOME,
     headers::REASON,
     headers::DEADLINE_MS,
@@ -67,6 +70,7 @@
     CRASHED,
     LOAD,
     KNOWN_LIMIT,
+    ROLLOUT,
 ];
 
 /// Removes hop-by-hop headers, and the headers that `connection` names.
--- a/trefoillock-node/src/refusal.rs
+++ b/trefoillock-node/src/refusal.rs
@@ -52,6 +52,7 @@
             | RefusalReason::Overloaded
             | RefusalReason::RateLimited
             | RefusalReason::LinkFull
+            | RefusalReason::AllowanceSpent
             | RefusalReason::Unreachable
             | RefusalReason::Draining
             | RefusalReason::RefusedByServer
--- a/trefoillock-policy/src/lib.rs
+++ b/trefoillock-policy/src/lib.rs
@@ -57,4 +57,4 @@
 pub use quarantine::Quarantine;
 pub use retry_budget::RetryBudget;
 pub use retry_decision::{Attempt, GiveUp, RetryDecision, SentState, retry_decision};
-pub use rollout_ledger::{RolloutLedger, VersionCalls};
+pub use rollout_ledger::{AllowanceSpent, RolloutClaim, RolloutLedger, VersionCall, VersionCalls};
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -105,7 +105,7 @@
     /// A node cut the share of a new pool to zero on its own evidence; fields: route, move.
     LocalCut = 1301, "local-cut", Warn;
     /// A rollout took a step, and this node has backend servers of the new version; fields: rollout, service, version, step,
-    /// server, calls: those that were sent to the backend server since the order.
+    /// server, calls: those that were sent to the backend server since the order, allowed: those that may be.
     VersionCalls = 1302, "version-calls", Info;
     /// An edit was accepted; fields: id, version, moves.
     EditAccepted = 1401, "edit-accepted", Info;
@@ -124,6 +124,9 @@
     DocumentAcknowledged = 1407, "document-acknowledged", Info;
     /// A numbered document was read by an operator; fields: revision, term in which this replica leads.
     DocumentRead = 1408, "document-read", Info;
+    /// The leader lets the new version of a rollout get more calls; fields: rollout, service, extension, purpose, granted in
+    /// all, before: granted in all until now, allowed by the limits, service-calls and version-calls that are reported, parts by server.
+    RolloutAllowance = 1409, "rollout-allowance", Info;
     /// A move has started; fields: move, route, from, to, deadline.
     MoveStarted = 1501, "move-started", Info;
     /// A move took a step; fields: move, step, state, share, evidence.
--- a/trefoillock-process/src/raw_settings.rs
+++ b/trefoillock-process/src/raw_settings.rs
@@ -3,6 +3,7 @@
 use std::{num::NonZeroU32, path::PathBuf};
 
 use serde::Deserialize;
+use trefoillock_core::RolloutLimits;
 
 use crate::{CallSettings, LogFormat, StopSettings};
 
@@ -56,6 +57,29 @@
     pub(crate) operators: String,
     pub(crate) data_folder: PathBuf,
     pub(crate) replicas: Vec<RawReplica>,
+    #[serde(default)]
+    pub(crate) rollouts: RawRolloutLimits,
+}
+
+/// The limits of new versions.
+#[derive(Debug, Deserialize)]
+#[serde(default, deny_unknown_fields, expecting = "an object")]
+pub(crate) struct RawRolloutLimits {
+    pub(crate) max_share: f64,
+    pub(crate) extra_calls: u64,
+    pub(crate) stop_within_ms: NonZeroU32,
+}
+
+impl Default for RawRolloutLimits {
+    fn default() -> Self {
+        let limits = RolloutLimits::default();
+        let millis = u32::try_from(limits.stop_within.as_millis()).ok();
+        Self {
+            max_share: limits.share.fraction(),
+            extra_calls: limits.extra_calls,
+            stop_within_ms: millis.and_then(NonZeroU32::new).unwrap_or(NonZeroU32::MIN),
+        }
+    }
 }
 
 /// The identity and mesh address of one voter of the replicated log.
--- a/trefoillock-process/src/settings.rs
+++ b/trefoillock-process/src/settings.rs
@@ -7,14 +7,15 @@
     fmt, fs,
     net::SocketAddr,
     path::{Path, PathBuf},
+    time::Duration,
 };
 
 use log::LevelFilter;
-use trefoillock_core::{DataCentre, NodeId, Region, ReplicaId};
+use trefoillock_core::{DataCentre, NodeId, Region, ReplicaId, RolloutLimits, Share};
 
 use crate::{
     CallSettings, LogFormat, StopSettings,
-    raw_settings::{RawControl, RawLog, RawNode, RawReplica, RawSettings},
+    raw_settings::{RawControl, RawLog, RawNode, RawReplica, RawRolloutLimits, RawSettings},
     read_secret,
 };
 
@@ -117,6 +118,8 @@
     pub operators: SocketAddr,
     /// The folder in which the replica stores its files.
     pub data_folder: PathBuf,
+    /// The limits of the calls that new versions get before they are proven good.
+    pub rollouts: RolloutLimits,
 }
 
 /// The validated settings of a daemon. It has the role of a node, of a control replica or both.
@@ -297,6 +300,18 @@
             mesh,
             operators: self.parse_address("$.control.operators", &raw.operators)?,
             data_folder: self.resolve_path(&raw.data_folder),
+            rollouts: self.check_rollouts(&raw.rollouts)?,
+        })
+    }
+
+    fn check_rollouts(&self, raw: &RawRolloutLimits) -> Result<RolloutLimits, SettingsError> {
+        if !(0.0..=1.0).contains(&raw.max_share) {
+            return Err(self.error("$.control.rollouts.max_share", "must be between 0 and 1"));
+        }
+        Ok(RolloutLimits {
+            share: Share::from_fraction(raw.max_share),
+            extra_calls: raw.extra_calls,
+            stop_within: Duration::from_millis(u64::from(raw.stop_within_ms.get())),
         })
     }
 
--- a/trefoillock-process/tests/settings.rs
+++ b/trefoillock-process/tests/settings.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use serde_json::{Value, json};
+use trefoillock_core::RolloutLimits;
 use trefoillock_process::Settings;
 
 fn valid_settings() -> Value {
@@ -42,6 +43,7 @@
         .expect("valid settings");
     let control = settings.control.expect("the control replica role");
     assert_eq!(control.data_folder, Path::new("/etc/t/data"));
+    assert_eq!(control.rollouts, RolloutLimits::default());
 }
 
 #[test]
@@ -69,6 +71,8 @@
         error_after_change("/node/backend", json!("0.0.0.0:9005")),
         error_after_change("/node/control", json!([])),
         error_after_change("/node/control", json!(["nowhere"])),
+        error_after_change("/control/rollouts", json!({ "max_share": 1.5 })),
+        error_after_change("/control/rollouts", json!({ "stop_within_ms": 0 })),
         error_after_change("/control/id", json!(0)),
         error_after_change("/control/id", json!("one")),
         error_after_change("/control/replicas", json!([])),
--- a/trefoillock-roles/src/control_role.rs
+++ b/trefoillock-roles/src/control_role.rs
@@ -114,8 +114,14 @@
             let guards = guards.run(leadership.clone(), outputs.guards.clone());
             context.tasks.spawn(guards);
         }
-        let driver =
-            LeaderDriver::new(context.clone(), replica.clone(), store, burn_meter, traffic);
+        let driver = LeaderDriver::new(
+            context.clone(),
+            replica.clone(),
+            store,
+            burn_meter,
+            traffic,
+            settings.rollouts,
+        );
         let channels = LeaderChannels {
             leadership,
             outputs,
--- a/trefoillock-roles/src/leader_driver.rs
+++ b/trefoillock-roles/src/leader_driver.rs
@@ -13,8 +13,8 @@
 use tokio::sync::watch;
 use trefoillock_control::{ControlOutputs, FleetStatus};
 use trefoillock_core::{
-    Config, CrashReport, Evidence, Fingerprint, Members, Move, Rollout, RolloutStep, ServiceName,
-    Timestamp,
+    Config, CrashReport, Evidence, Fingerprint, Members, Move, MoveId, Rollout, RolloutAllowance,
+    RolloutLimits, RolloutStep, ServiceName, Timestamp,
 };
 use trefoillock_moves::{EvidenceCoverage, MoveController, RolloutController};
 use trefoillock_policy::{BurnMeter, CrashCounter};
@@ -65,6 +65,7 @@
         store: SharedStore,
         burn_meter: Arc<Mutex<BurnMeter>>,
         traffic: Arc<TrafficCounter>,
+        limits: RolloutLimits,
     ) -> Self {
         let move_events = MoveEventLog::new(context.events);
         Self {
@@ -74,7 +75,7 @@
             burn_meter,
             traffic,
             move_controller: MoveController::new(),
-            rollout_controller: RolloutController::new(),
+            rollout_controller: RolloutController::new().with_limits(limits),
             crash_counter: CrashCounter::new(),
             move_events,
             is_leading: false,
@@ -173,13 +174,25 @@
         for step in &rollout_steps {
             self.log_rollout_step(step, &rollouts);
         }
+        let allowances = members_if_known.map(|members| {
+            let controller = &self.rollout_controller;
+            controller.due_allowances(now, &rollouts, members)
+        });
+        let allowances = allowances.unwrap_or_default();
+        for (id, allowance) in &allowances {
+            self.log_allowance(*id, allowance, &rollouts);
+        }
+        let allowances = allowances
+            .into_iter()
+            .map(|(id, allowance)| Command::RolloutAllowance { id, allowance });
         let rollout_steps = rollout_steps.into_iter().map(Command::RolloutStep);
         let progress = self.rollout_controller.due_progress(now, &rollouts);
         let progress = progress
             .into_iter()
             .map(|(id, progress)| Command::RolloutProgress { id, progress });
         // A step that is not committed is decided again at the next tick.
-        self.propose_all(rollout_steps.chain(progress)).await;
+        self.propose_all(allowances.chain(rollout_steps).chain(progress))
+            .await;
         let steps = self
             .move_controller
             .decide(now, &moves, config.tables(), members, coverage);
@@ -201,6 +214,34 @@
         }
     }
 
+    fn log_allowance(
+        &self,
+        id: MoveId,
+        allowance: &RolloutAllowance,
+        rollouts: &BTreeMap<ServiceName, Rollout>,
+    ) {
+        let rollout = rollouts.values().find(|rollout| rollout.id == id);
+        let service = rollout.map_or_else(String::new, |rollout| rollout.service.to_string());
+        let before = rollout.map_or(0, |rollout| rollout.allowance.granted());
+        let counts = self.rollout_controller.calls(id).unwrap_or_default();
+        let parts = allowance.parts.iter();
+        let parts = parts.map(|part| format!("{}={}", part.server, part.calls));
+        let parts = parts.collect::<Vec<_>>().join(" ");
+        let fields: [(&str, &dyn std::fmt::Display); 10] = [
+            ("rollout", &id),
+            ("service", &service),
+            ("extension", &allowance.serial),
+            ("purpose", &allowance.purpose.as_str()),
+            ("granted", &allowance.granted()),
+            ("before", &before),
+            ("allowed", &counts.allowed),
+            ("service-calls", &counts.service),
+            ("version-calls", &counts.version),
+            ("parts", &parts),
+        ];
+        self.context.events.write(Event::RolloutAllowance, &fields);
+    }
+
     fn log_rollout_step(&self, step: &RolloutStep, rollouts: &BTreeMap<ServiceName, Rollout>) {
         let service = rollouts.values().find(|rollout| rollout.id == step.id);
         let service = service.map_or_else(String::new, |rollout| rollout.service.to_string());
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -192,7 +192,7 @@
                 Ok(()) = outputs.config.changed() => {
                     let config = outputs.config.borrow_and_update().clone();
                     if let Some(config) = config {
-                        self.apply_config(config);
+                        self.apply_config(&config);
                     }
                 }
                 else => return,
@@ -204,17 +204,16 @@
         self.context.health.stopping.load(Ordering::Relaxed)
     }
 
-    fn apply_config(&self, config: Arc<trefoillock_core::Config>) {
+    fn apply_config(&self, config: &Arc<trefoillock_core::Config>) {
         let version = config.version();
         let (routes, pools) = (
             config.tables().routes().len(),
             config.tables().pools().len(),
         );
-        let stepped = self.node.rollouts().observe(config.rollouts());
-        for calls in stepped {
-            self.log_version_calls(&calls);
-        }
-        if self.node.view().set_config(config) {
+        if let Some(stepped) = self.node.apply_config(config) {
+            for calls in stepped {
+                self.log_version_calls(&calls);
+            }
             self.context
                 .health
                 .node_lacks_config
@@ -230,13 +229,16 @@
     }
 
     fn log_version_calls(&self, calls: &VersionCalls) {
-        let fields: [(&str, &dyn std::fmt::Display); 6] = [
+        let allowed = calls.allowed;
+        let allowed = allowed.map_or_else(|| "all".to_owned(), |allowed| allowed.to_string());
+        let fields: [(&str, &dyn std::fmt::Display); 7] = [
             ("rollout", &calls.rollout),
             ("service", &calls.service),
             ("version", &calls.version),
             ("step", &calls.step),
             ("server", &calls.address),
             ("calls", &calls.calls),
+            ("allowed", &allowed),
         ];
         self.context.events.write(Event::VersionCalls, &fields);
     }
--- a/trefoillock-stand-ins/tests/rollout_versions.rs
+++ b/trefoillock-stand-ins/tests/rollout_versions.rs
@@ -4,8 +4,8 @@
 
 use trefoillock_core::{
     Announcement, ConfigVersion, DataCentre, Edit, EditId, Incarnation, LogIndex, Member,
-    MemberState, Members, MembersVersion, NodeId, PoolName, RawTables, RolloutState, RolloutStep,
-    ServerId, ServiceName, Share, Tables, Term, Timestamp, VersionLabel,
+    MemberState, Members, MembersVersion, NodeId, PoolName, RawTables, RolloutAllowance,
+    RolloutState, RolloutStep, ServerId, ServiceName, Share, Tables, Term, Timestamp, VersionLabel,
 };
 use trefoillock_node::NodeView;
 use trefoillock_store::{Command, TableStore};
@@ -166,3 +166,37 @@
     assert_eq!(old, texts(&["v1", "v2"]));
     assert_eq!(new, texts(&["v3"]));
 }
+
+#[test]
+fn an_allowance_that_was_planned_from_an_older_state_is_refused() {
+    let mut log = Log::new();
+    log.order("v2");
+    let rollout = log.store.rollouts()[&service()].clone();
+    let server = ServerId {
+        node: NodeId::try_from("node-8001").expect("a name"),
+        address: ([127, 0, 0, 1], 8_001).into(),
+    };
+    let servers = [(server, Incarnation::new(1))];
+    let first = rollout.allowance.extended(&servers, 10);
+    let stale = rollout.allowance.extended(&servers, 20);
+    let extend = |log: &mut Log, allowance: &RolloutAllowance| {
+        let (id, allowance) = (rollout.id, allowance.clone());
+        log.apply(Command::RolloutAllowance { id, allowance });
+        log.store.rollouts()[&service()].allowance.clone()
+    };
+    assert_eq!(extend(&mut log, &first), first);
+    assert_eq!(extend(&mut log, &stale), first, "of another leader");
+    let smaller = RolloutAllowance {
+        serial: 2,
+        ..RolloutAllowance::default()
+    };
+    assert_eq!(extend(&mut log, &smaller), first, "takes calls back");
+    let share = &log.store.config().rollouts()[&service()];
+    assert_eq!(share.allowance.as_ref(), Some(&first), "nodes learn of it");
+    log.step(RolloutState::RolledBack, Share::ZERO);
+    let share = &log.store.config().rollouts()[&service()];
+    let granted = share.allowance.as_ref().map(RolloutAllowance::granted);
+    assert_eq!(granted, Some(0), "rolled back");
+    let next = first.extended(&servers, 5);
+    assert_eq!(extend(&mut log, &next), first, "after the end");
+}
--- a/trefoillock-store/src/command.rs
+++ b/trefoillock-store/src/command.rs
@@ -1,8 +1,8 @@
 //! Commands of the replicated log and the answers to them.
 
 use trefoillock_core::{
-    Edit, EditAnswer, GuardSet, GuardSlot, MoveId, MoveStep, RolloutProgress, RolloutStep,
-    ServiceName, Timestamp, VersionLabel, data,
+    Edit, EditAnswer, GuardSet, GuardSlot, MoveId, MoveStep, RolloutAllowance, RolloutProgress,
+    RolloutStep, ServiceName, Timestamp, VersionLabel, data,
 };
 
 use crate::{EncodingError, ReplaceAnswer, TablesReplacement, encoding};
@@ -45,6 +45,13 @@
         /// Its progress.
         progress: RolloutProgress,
     },
+    /// Extends the calls that the new version of a rollout may get.
+    RolloutAllowance {
+        /// The rollout.
+        id: MoveId,
+        /// The whole allowance after the extension.
+        allowance: RolloutAllowance,
+    },
 }
 
 impl Command {
@@ -97,6 +104,8 @@
     RolloutStep(bool),
     /// Whether the progress of a rollout was recorded.
     RolloutProgress(bool),
+    /// Whether the allowance of a rollout was extended.
+    RolloutAllowance(bool),
     /// The entry could not be decoded; the state is unchanged.
     Undecodable,
 }
--- a/trefoillock-store/src/table_store.rs
+++ b/trefoillock-store/src/table_store.rs
@@ -10,9 +10,9 @@
 use serde::{Deserialize, Serialize};
 use trefoillock_core::{
     Config, ConfigVersion, Edit, EditAnswer, EditId, EditRefusal, GuardSet, GuardSlot, GuardTable,
-    LogIndex, Move, MoveId, MoveShare, MoveState, MoveStep, Rollout, RolloutProgress, RolloutShare,
-    RolloutState, RolloutStep, RouteName, ServiceName, Share, Tables, TakeBackReason, Timestamp,
-    VersionLabel,
+    LogIndex, Move, MoveId, MoveShare, MoveState, MoveStep, Rollout, RolloutAllowance,
+    RolloutProgress, RolloutShare, RolloutState, RolloutStep, RouteName, ServiceName, Share,
+    Tables, TakeBackReason, Timestamp, VersionLabel,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -136,6 +136,9 @@
             Command::RolloutProgress { id, progress } => {
                 CommandAnswer::RolloutProgress(self.record_rollout_progress(id, progress))
             }
+            Command::RolloutAllowance { id, allowance } => {
+                CommandAnswer::RolloutAllowance(self.extend_allowance(version, id, allowance))
+            }
         }
     }
 
@@ -318,6 +321,7 @@
         let rollout = Rollout {
             id: self.state.last_move,
             rejected: rejected.unwrap_or_default(),
+            allowance: RolloutAllowance::default(),
             progress: RolloutProgress::default(),
             service: service.clone(),
             version: to,
@@ -362,6 +366,29 @@
         true
     }
 
+    /// Extends the allowance of a rollout. One that does not directly follow the held one was
+    /// planned from an older state, so it is refused.
+    fn extend_allowance(
+        &mut self,
+        version: ConfigVersion,
+        id: MoveId,
+        allowance: RolloutAllowance,
+    ) -> bool {
+        let mut rollouts = self.state.rollouts.values_mut();
+        let Some(rollout) = rollouts.find(|rollout| rollout.id == id) else {
+            return false;
+        };
+        let held = &rollout.allowance;
+        let is_extension =
+            allowance.serial == held.serial + 1 && allowance.granted() >= held.granted();
+        if rollout.state.is_final() || !is_extension {
+            return false;
+        }
+        rollout.allowance = allowance;
+        self.refresh_shares(version);
+        true
+    }
+
     fn apply_move_step(&mut self, version: ConfigVersion, step: MoveStep) -> bool {
         let Some(running) = self.state.running.values_mut().find(|m| m.id == step.id) else {
             return false;
