fix(moves): prove a version by its own calls where the old versions fail

Old servers flapped and lied about their health, so 1,508 of 2,104 calls of the old versions failed as well.

Cause: a version was good if it was no worse than the old ones, and where they fail more than the part that a bad version must show, is_proven_good returned true without looking at the new version's calls.

Change: the part of bad calls that is assumed of a good version is at most half of that of a bad one, so old versions that fail no longer prove anything. A version of whose calls over 20% (and five) are bad gets neither the full share nor a larger allowance, whatever the old ones do; it is rolled back at the deadline unless its calls get better.

Why it works: the verdict rests on the new version's own calls, which the old servers' faults do not touch.

Ruled out: comparing with the time before the order (the old servers may have failed then too).

--- a/trefoillock-moves/src/rollout_judgement.rs
+++ b/trefoillock-moves/src/rollout_judgement.rs
@@ -17,6 +17,8 @@
 const MIN_SLOW_RATE: f64 = 0.2;
 /// Smallest part of bad calls that is assumed of a good version.
 const MIN_GOOD_RATE: f64 = 0.01;
+/// Largest part of bad calls that is assumed of a good version, relative to that of a bad one.
+const MAX_GOOD_PART: f64 = 0.5;
 /// Likelihood of the calls in a bad version, relative to that in a good one, at which the version is
 /// proven to be good.
 const MAX_BAD_LIKELIHOOD_RATIO: f64 = 0.1;
@@ -108,21 +110,26 @@
 }
 
 /// Whether the calls of the new version show that it is good: they are much less likely if
-/// the given part of its calls is bad than if as many are as in the old versions.
+/// the given part of its calls is bad than if as many are as in old versions that work.
 #[expect(clippy::cast_precision_loss, reason = "counts of calls are small")]
 pub(crate) fn is_proven_good(old: &PoolEvidence, new: &PoolEvidence, bad_rate: BadRate) -> bool {
     let old_bad = count_bad_calls(old, old) as f64;
     let (bad, calls) = (count_bad_calls(old, new) as f64, new.calls as f64);
-    let good_rate = ((old_bad + 1.0) / (old.calls as f64 + 20.0)).max(MIN_GOOD_RATE);
-    if good_rate >= bad_rate.part() {
-        // The old versions are no better, so the calls cannot tell.
-        return true;
-    }
+    let old_rate = (old_bad + 1.0) / (old.calls as f64 + 20.0);
+    // Old versions that fail prove nothing about the new one.
+    let good_rate = old_rate.clamp(MIN_GOOD_RATE, bad_rate.part() * MAX_GOOD_PART);
     let of_bad = (bad_rate.part() / good_rate).ln();
     let of_good = ((1.0 - bad_rate.part()) / (1.0 - good_rate)).ln();
     bad * of_bad + (calls - bad) * of_good <= MAX_BAD_LIKELIHOOD_RATIO.ln()
 }
 
+/// Whether so many calls of the new version are bad that it cannot be proven good, whatever the old versions do.
+#[expect(clippy::cast_precision_loss, reason = "counts of calls are small")]
+pub(crate) fn is_suspect(old: &PoolEvidence, new: &PoolEvidence) -> bool {
+    let bad = count_bad_calls(old, new);
+    bad >= Caution::Running.min_bad_calls() && bad as f64 > BadRate::High.part() * new.calls as f64
+}
+
 /// Returns the calls of a version that failed, or were slow compared with the old versions.
 pub(crate) fn count_bad_calls(old: &PoolEvidence, pool: &PoolEvidence) -> u64 {
     let bound = median(old).map(|median| median * SLOW_ANSWER_RATIO);
--- a/trefoillock-moves/src/rollout_tracker.rs
+++ b/trefoillock-moves/src/rollout_tracker.rs
@@ -14,7 +14,8 @@
 
 use crate::{
     rollout_judgement::{
-        BadRate, Caution, count_bad_calls, describe_counts, is_proven_good, reason_to_roll_back,
+        BadRate, Caution, count_bad_calls, describe_counts, is_proven_good, is_suspect,
+        reason_to_roll_back,
     },
     rollout_plan::{CLOSING_TIME, FULL_SHARE_INTERVAL, RolloutPlan, full_share_time},
 };
@@ -173,7 +174,8 @@
         limits: &RolloutLimits,
     ) -> Option<RolloutAllowance> {
         let (state, share, _) = self.decide(now, rollout, Some(!servers.is_empty()), false);
-        if state != RolloutState::Running || servers.is_empty() {
+        let may_get_more = state == RolloutState::Running && !is_suspect(&self.old, &self.new);
+        if !may_get_more || servers.is_empty() {
             return None;
         }
         let elapsed = now.since(self.ordered_at);
@@ -251,7 +253,8 @@
             if let Some(reason) = self.reason_to_roll_back(Caution::Raising) {
                 return rolled_back(reason);
             }
-            if !self.has_enough_calls_at(rollout.share) {
+            let is_suspect = is_suspect(&self.old, &self.new);
+            if is_suspect || !self.has_enough_calls_at(rollout.share) {
                 return (RolloutState::Running, rollout.share, self.describe());
             }
         }
--- a/trefoillock-moves/tests/rollouts/harness.rs
+++ b/trefoillock-moves/tests/rollouts/harness.rs
@@ -66,6 +66,8 @@
     pub(crate) evidence_lost_until: Duration,
     /// When the rate of calls triples.
     pub(crate) burst_at: Duration,
+    /// The fraction of calls that fail in the old versions.
+    pub(crate) old_failure_rate: f64,
 }
 
 pub(crate) const CALM: Disturbance = Disturbance {
@@ -76,6 +78,7 @@
     leader_pause: (Duration::ZERO, Duration::ZERO),
     evidence_lost_until: Duration::ZERO,
     burst_at: Duration::MAX,
+    old_failure_rate: BASE_FAILURE_RATE,
 };
 
 /// The leader stands still while the new version is due for all calls.
@@ -272,11 +275,12 @@
 fn record_call(
     evidence: &mut MoveEvidence,
     is_new: bool,
-    behaviour: Behaviour,
-    is_affected: bool,
+    (behaviour, is_affected): (Behaviour, bool),
+    old_failure_rate: f64,
     rng: &mut Pcg64Mcg,
 ) {
     let (failure_rate, latency_factor) = match behaviour.effect {
+        _ if !is_new => (old_failure_rate, 1.0),
         Effect::Fails if is_affected => (1.0, 1.0),
         Effect::Takes { factor } if is_affected => (BASE_FAILURE_RATE, factor),
         Effect::Fails | Effect::Takes { .. } => (BASE_FAILURE_RATE, 1.0),
@@ -350,7 +354,9 @@
                 && elapsed >= behaviour.since
                 && nodes.entry.share.fraction() >= behaviour.min_share
                 && rng.random::<f64>() < behaviour.affected;
-            record_call(&mut evidence, is_new, behaviour, is_affected, &mut rng);
+            let behaviour = (behaviour, is_affected);
+            let old_failure_rate = disturbance.old_failure_rate;
+            record_call(&mut evidence, is_new, behaviour, old_failure_rate, &mut rng);
         }
         let moves = BTreeMap::from([(MoveId::new(1), evidence)]);
         in_transit.push(Evidence {
--- a/trefoillock-moves/tests/rollouts/main.rs
+++ b/trefoillock-moves/tests/rollouts/main.rs
@@ -174,6 +174,32 @@
     }
 }
 
+#[test]
+fn a_bad_version_does_not_complete_beside_old_versions_that_fail_as_often() {
+    for old_failure_rate in [0.3, 0.7] {
+        let failing = Disturbance {
+            old_failure_rate,
+            ..CALM
+        };
+        assert_limit_kept(failing, &[8.0, 35.0, 64.0, 290.0]);
+    }
+}
+
+#[test]
+fn a_good_version_completes_beside_old_versions_that_fail() {
+    let failing = Disturbance {
+        old_failure_rate: 0.7,
+        ..CALM
+    };
+    for rate in [60.0, 290.0, 600.0] {
+        for seed in 0..40 {
+            let outcome = run(rate, GOOD, failing, seed);
+            let case = format!("{rate}/s, seed {seed}");
+            assert_eq!(outcome.state, RolloutState::Completed, "{case}");
+        }
+    }
+}
+
 #[test]
 fn no_disturbance_lets_a_version_exceed_its_limit_before_it_completes() {
     for (disturbance_name, disturbance) in disturbances() {
