feat(trefoilctl): show running rollouts with the calls of their versions

`trefoilctl rollouts` (GET /v1/rollouts) shows for each service's latest rollout the reported calls, the limit for as many, the calls granted and their parts by server.

--- a/trefoilctl/src/args.rs
+++ b/trefoilctl/src/args.rs
@@ -28,6 +28,7 @@
   show routes|pools|members|version
   moves                      list the moves
       --watch [--move ID]    follow them until all (or the one) have ended
+  rollouts                   the latest rollout of each service, and the calls that its version got and may get
   cancel ID                  take a move back
   status                     which node is at which version, and the control replicas
   burn                       service-level burn by route and class
@@ -101,6 +102,7 @@
     },
     Show(ShowTarget),
     Moves,
+    Rollouts,
     Watch {
         id: Option<MoveId>,
     },
@@ -201,6 +203,7 @@
         },
         "status" => Command::Status,
         "burn" => Command::Burn,
+        "rollouts" => Command::Rollouts,
         "replicas" => Command::Replicas(parse_replicas(args)?),
         _ => return Err(ArgsError::UnknownCommand(name)),
     })
--- a/trefoilctl/src/commands.rs
+++ b/trefoilctl/src/commands.rs
@@ -81,6 +81,7 @@
         } => apply(&client, &file, base, id, json).await,
         Command::Show(target) => show(&client, target, json).await,
         Command::Moves => print(json, &client.moves().await?, render::moves),
+        Command::Rollouts => print(json, &client.rollouts().await?, render::rollouts),
         Command::Watch { id } => Ok(watch::watch(&client, id, json, WATCH_INTERVAL).await?),
         Command::Cancel { id } => {
             let report = client.cancel(id).await?;
--- a/trefoilctl/src/render.rs
+++ b/trefoilctl/src/render.rs
@@ -2,9 +2,12 @@
 
 use std::fmt::Write as _;
 
-use trefoillock_core::{EditAnswer, EditRefusal, Move, MoveState, RouteClass, TablesDiff};
+use trefoillock_core::{
+    EditAnswer, EditRefusal, Move, MoveState, RolloutState, RouteClass, TablesDiff,
+};
 use trefoillock_operator::{
-    BurnReport, CheckReport, EditReport, MembersReport, MovesReport, StatusReport, TablesReport,
+    BurnReport, CheckReport, EditReport, MembersReport, MovesReport, RolloutsReport, StatusReport,
+    TablesReport,
 };
 use trefoillock_store::CancelAnswer;
 
@@ -105,6 +108,33 @@
     table(&header, &rows.collect::<Vec<_>>())
 }
 
+pub(crate) fn rollouts(report: &RolloutsReport) -> String {
+    let rows = report.rollouts.iter().map(|row| {
+        let is_limited = row.state == RolloutState::Running;
+        let parts = row.allowance.parts.iter();
+        let parts = parts.map(|part| format!("{}={}", part.server, part.calls));
+        vec![
+            row.service.to_string(),
+            row.version.to_string(),
+            format!("{:?}", row.state).to_lowercase(),
+            row.share.to_string(),
+            format!("{} of {}", row.version_calls, row.service_calls),
+            row.allowed_calls.to_string(),
+            format!(
+                "{} {}",
+                row.allowance.granted(),
+                row.allowance.purpose.as_str()
+            ),
+            parts.filter(|_| is_limited).collect::<Vec<_>>().join(" "),
+            row.evidence.clone(),
+        ]
+    });
+    let header = [
+        "SERVICE", "VERSION", "STATE", "SHARE", "CALLS", "ALLOWED", "GRANTED", "PARTS", "EVIDENCE",
+    ];
+    table(&header, &rows.collect::<Vec<_>>())
+}
+
 /// The width of a progress bar, in characters.
 const BAR_WIDTH: usize = 20;
 
--- a/trefoilctl/tests/commands.rs
+++ b/trefoilctl/tests/commands.rs
@@ -12,12 +12,15 @@
 use tempfile::TempDir;
 use tokio_util::sync::CancellationToken;
 use trefoillock_core::{
-    ConfigVersion, Edit, EditAnswer, EditConflict, EditRefusal, Move, MoveId, MoveState, RawTables,
-    Rollout, ServiceName, Share, Tables, TablesDiff, TakeBackReason, Term, Timestamp, VersionLabel,
+    ConfigVersion, Edit, EditAnswer, EditConflict, EditRefusal, Incarnation, Move, MoveId,
+    MoveState, NodeId, PoolEvidence, RawTables, Rollout, RolloutAllowance, RolloutLimits,
+    RolloutProgress, RolloutState, ServerId, ServiceName, Share, Tables, TablesDiff,
+    TakeBackReason, Term, Timestamp, VersionLabel,
 };
 use trefoillock_operator::{
     ApiError, ApiErrorKind, BurnReport, CancelReport, CheckReport, EditReport, MembersReport,
-    MovesReport, OperatorService, ReplicaChange, StatusReport, TablesReport,
+    MovesReport, OperatorService, ReplicaChange, RolloutRow, RolloutsReport, StatusReport,
+    TablesReport,
 };
 use trefoillock_rpc::Token;
 use trefoillock_store::{CancelAnswer, ConfigDocument, ReplaceAnswer};
@@ -63,6 +66,35 @@
     }
 }
 
+fn running_rollout() -> Rollout {
+    let server = ServerId {
+        node: NodeId::try_from("node-1").expect("a name"),
+        address: ([127, 0, 0, 1], 8_301).into(),
+    };
+    let calls = |calls| PoolEvidence {
+        calls,
+        ..PoolEvidence::default()
+    };
+    Rollout {
+        id: MoveId::new(8),
+        service: "premium-ledger".try_into().expect("a name"),
+        version: "v2".try_into().expect("a name"),
+        started: Timestamp::from_secs(1),
+        deadline: Timestamp::from_secs(17),
+        state: RolloutState::Running,
+        share: Share::from_fraction(0.03),
+        step: 1,
+        evidence: "old 1 of 195 failed, new 0 of 0".to_owned(),
+        rejected: Vec::new(),
+        allowance: RolloutAllowance::default().extended(&[(server, Incarnation::new(1))], 15),
+        progress: RolloutProgress {
+            elapsed: Duration::from_secs(3),
+            old: calls(190),
+            new: calls(10),
+        },
+    }
+}
+
 impl OperatorService for FakeReplica {
     fn now(&self) -> Timestamp {
         Timestamp::from_secs(1)
@@ -129,6 +161,13 @@
         self.reply(None)
     }
 
+    fn rollouts(&self) -> Reply<'_, RolloutsReport> {
+        let row = RolloutRow::new(&running_rollout(), &RolloutLimits::default());
+        self.reply(RolloutsReport {
+            rollouts: vec![row],
+        })
+    }
+
     fn moves(&self) -> Reply<'_, MovesReport> {
         self.reply(MovesReport {
             moves: vec![taken_back_move()],
@@ -286,6 +325,25 @@
     assert_eq!(exit_code(&replicas.run(&["cancel", "7"])), Some(3));
 }
 
+#[test]
+fn rollouts_show_the_calls_of_the_new_version_and_who_may_let_them_pass() {
+    let replicas = FakeReplicas::start(&[FakeRole::Leader]);
+    let text = combined_output(&replicas.run(&["rollouts"]));
+    for part in [
+        "premium-ledger",
+        "3.00%",
+        "10 of 200",
+        "70",
+        "15 canary",
+        "node-1@127.0.0.1:8301=15",
+    ] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+    let output = replicas.run(&["--json", "rollouts"]);
+    let json: Value = serde_json::from_slice(&output.stdout).expect("one JSON object");
+    assert_eq!(json["rollouts"][0]["allowed_calls"], 70);
+}
+
 #[test]
 fn the_client_skips_unreachable_replicas_and_followers() {
     let mut replicas = FakeReplicas::start(&[FakeRole::Follower, FakeRole::Leader]);
--- a/trefoillock-operator/src/client.rs
+++ b/trefoillock-operator/src/client.rs
@@ -21,7 +21,8 @@
 
 use crate::{
     ApiError, ApiErrorKind, BurnReport, CancelReport, CheckReport, EditReport, EditRequest,
-    MAX_BODY_BYTES, MembersReport, MovesReport, ReplicaChange, StatusReport, TablesReport,
+    MAX_BODY_BYTES, MembersReport, MovesReport, ReplicaChange, RolloutsReport, StatusReport,
+    TablesReport,
 };
 
 /// The longest wait for the answer of one replica.
@@ -109,6 +110,15 @@
         self.get("/v1/tables").await
     }
 
+    /// Returns the latest rollout of each service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no leader answers.
+    pub async fn rollouts(&self) -> Result<RolloutsReport, ClientError> {
+        self.get("/v1/rollouts").await
+    }
+
     /// Returns the running moves and the recently ended ones.
     ///
     /// # Errors
--- a/trefoillock-operator/src/messages.rs
+++ b/trefoillock-operator/src/messages.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 use trefoillock_core::{
     ConfigVersion, DataCentre, EditAnswer, EditId, MemberState, Move, MoveId, NodeId, RawTables,
-    ReplicaId, ServerId, ServiceName, TableErrors, TablesDiff, Term, VersionLabel, data,
+    ReplicaId, Rollout, RolloutAllowance, RolloutLimits, RolloutState, ServerId, ServiceName,
+    Share, TableErrors, TablesDiff, Term, VersionLabel, data,
 };
 pub use trefoillock_policy::BurnReport;
 use trefoillock_store::CancelAnswer;
@@ -132,6 +133,56 @@
     pub moves: Vec<Move>,
 }
 
+/// The latest rollout of a service, with the calls that its new version got and may get.
+#[data]
+pub struct RolloutRow {
+    /// The service.
+    pub service: ServiceName,
+    /// The new version.
+    pub version: VersionLabel,
+    /// The state after the last step.
+    pub state: RolloutState,
+    /// The share of the calls that the new version gets while its allowance lasts.
+    pub share: Share,
+    /// The evidence for the last step.
+    pub evidence: String,
+    /// The calls of the service since the order, as the leader last recorded them.
+    pub service_calls: u64,
+    /// Those of them that the new version got.
+    pub version_calls: u64,
+    /// The calls that the new version may have got by now.
+    pub allowed_calls: u64,
+    /// The calls that the nodes beside its backend servers may let pass, by server.
+    pub allowance: RolloutAllowance,
+}
+
+impl RolloutRow {
+    /// Creates the row of a rollout whose new version must stay within limits.
+    #[must_use]
+    pub fn new(rollout: &Rollout, limits: &RolloutLimits) -> Self {
+        let progress = &rollout.progress;
+        let service_calls = progress.old.calls + progress.new.calls;
+        Self {
+            service: rollout.service.clone(),
+            version: rollout.version.clone(),
+            state: rollout.state,
+            share: rollout.share,
+            evidence: rollout.evidence.clone(),
+            service_calls,
+            version_calls: progress.new.calls,
+            allowed_calls: limits.allowed_calls(service_calls),
+            allowance: rollout.allowance.clone(),
+        }
+    }
+}
+
+/// The latest rollout of each service that had one.
+#[data]
+pub struct RolloutsReport {
+    /// The rollouts, by service.
+    pub rollouts: Vec<RolloutRow>,
+}
+
 /// The response to a request to cancel a move.
 #[data(key)]
 pub struct CancelReport {
--- a/trefoillock-operator/src/server.rs
+++ b/trefoillock-operator/src/server.rs
@@ -78,6 +78,13 @@
             "/v1/moves",
             handler(state, |state, _| async move { state.service.moves().await }),
         )
+        .get(
+            "/v1/rollouts",
+            handler(
+                state,
+                |state, _| async move { state.service.rollouts().await },
+            ),
+        )
         .post(
             "/v1/moves/:id/cancel",
             handler(state, |state, req| async move { cancel(&state, req).await }),
--- a/trefoillock-operator/src/service.rs
+++ b/trefoillock-operator/src/service.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     ApiError, BurnReport, CancelReport, CheckReport, EditReport, MembersReport, MovesReport,
-    ReplicaChange, StatusReport, TablesReport,
+    ReplicaChange, RolloutsReport, StatusReport, TablesReport,
 };
 
 /// A pending response to an operator's request.
@@ -56,6 +56,9 @@
     /// Returns the latest rollout of a service. `None` if there was none.
     fn rollout(&self, service: ServiceName) -> Reply<'_, Option<Rollout>>;
 
+    /// Returns the latest rollout of each service.
+    fn rollouts(&self) -> Reply<'_, RolloutsReport>;
+
     /// Returns the running moves and the recently ended ones.
     fn moves(&self) -> Reply<'_, MovesReport>;
 
--- a/trefoillock-roles/src/operator_service.rs
+++ b/trefoillock-roles/src/operator_service.rs
@@ -17,8 +17,8 @@
 };
 use trefoillock_operator::{
     ApiError, ApiErrorKind, BurnReport, CancelReport, CheckReport, EditReport, MemberRow,
-    MembersReport, MovesReport, OperatorService, ReplicaChange, ReplicaRow, StatusReport,
-    TablesReport, VersionCount,
+    MembersReport, MovesReport, OperatorService, ReplicaChange, ReplicaRow, RolloutRow,
+    RolloutsReport, StatusReport, TablesReport, VersionCount,
 };
 use trefoillock_policy::BurnMeter;
 use trefoillock_process::Event;
@@ -361,6 +361,21 @@
         .boxed()
     }
 
+    fn rollouts(&self) -> Reply<'_, RolloutsReport> {
+        async {
+            self.wait_until_current().await?;
+            let control = self.context.settings.control.as_ref();
+            let limits = control.map(|control| control.rollouts).unwrap_or_default();
+            let store = self.store.lock();
+            let rollouts = store.rollouts().values();
+            let rows = rollouts.map(|rollout| RolloutRow::new(rollout, &limits));
+            Ok(RolloutsReport {
+                rollouts: rows.collect(),
+            })
+        }
+        .boxed()
+    }
+
     fn moves(&self) -> Reply<'_, MovesReport> {
         async {
             self.wait_until_current().await?;
