--- a/trefoillock-moves/examples/rollout_verdicts.rs
+++ b/trefoillock-moves/examples/rollout_verdicts.rs
@@ -23,7 +23,7 @@
             for rate in RATES {
                 let outcomes = (0..SEEDS).map(|seed| run(rate, behaviour, disturbance, seed));
                 let completed = outcomes.filter(|outcome| {
-                    assert!(outcome.exposed <= outcome.max_exposed());
+                    outcome.assert_within_limits(behaviour_name);
                     outcome.state == RolloutState::Completed
                 });
                 print!(" {:>4}", completed.count());
--- a/trefoillock-moves/tests/rollouts/harness.rs
+++ b/trefoillock-moves/tests/rollouts/harness.rs
@@ -26,6 +26,11 @@
 /// deadline, plus a fixed number.
 const MAX_EXPOSURE: (f64, f64) = (0.1, 50.0);
 
+/// The number of bad answers after which the version must soon get no more calls.
+const BAD_ANSWERS: u64 = 50;
+/// The time within which it must get none, by the users' rule.
+const STOP_WITHIN: Duration = Duration::from_secs(5);
+
 /// How the new version behaves from a time after its start, and from a share of the calls: the
 /// fraction of calls that are affected, and how.
 #[derive(Clone, Copy)]
@@ -117,16 +122,40 @@
 
 /// What became of a rollout, and the calls that its new version got until it completed.
 pub(crate) struct Outcome {
+    /// When the new version gave its 50th bad answer, and when it last got a call, since the order.
+    shown_bad_at: Option<Duration>,
+    last_call_at: Duration,
+    bad_answers: u64,
     pub(crate) state: RolloutState,
     pub(crate) at: Duration,
-    pub(crate) exposed: f64,
-    pub(crate) calls: f64,
+    exposed: f64,
+    calls: f64,
 }
 
 impl Outcome {
-    /// The calls that the new version may get until the rollout completes.
-    pub(crate) fn max_exposed(&self) -> f64 {
-        MAX_EXPOSURE.0 * self.calls + MAX_EXPOSURE.1
+    fn count_call(&mut self, elapsed: Duration, is_new: bool, is_bad: bool) {
+        if is_new {
+            self.exposed += 1.0;
+            self.last_call_at = elapsed;
+        }
+        self.bad_answers += u64::from(is_bad);
+        if self.bad_answers == BAD_ANSWERS {
+            self.shown_bad_at.get_or_insert(elapsed);
+        }
+    }
+
+    /// Asserts that until the rollout completed the new version got no more calls than its limit allows, and none
+    /// late after its last allowed bad answer.
+    pub(crate) fn assert_within_limits(&self, case: &str) {
+        let max_exposed = MAX_EXPOSURE.0 * self.calls + MAX_EXPOSURE.1;
+        let exposed = self.exposed;
+        assert!(exposed <= max_exposed, "{case}: {exposed} of {max_exposed}");
+        let shown_bad_at = self.shown_bad_at.unwrap_or(Duration::MAX);
+        let last_call_at = self.last_call_at;
+        assert!(
+            last_call_at <= shown_bad_at.saturating_add(STOP_WITHIN),
+            "{case}: bad at {shown_bad_at:?}, last call at {last_call_at:?}"
+        );
     }
 }
 
@@ -322,6 +351,9 @@
     let mut controller = RolloutController::new();
     let mut in_transit: Vec<Evidence> = Vec::new();
     let mut outcome = Outcome {
+        shown_bad_at: None,
+        last_call_at: Duration::ZERO,
+        bad_answers: 0,
         state: RolloutState::Running,
         at: disturbance.duration,
         exposed: 0.0,
@@ -349,11 +381,11 @@
         while remaining >= 1.0 {
             remaining -= 1.0;
             let is_new = nodes.sends_to_new(now, &mut rng);
-            outcome.exposed += f64::from(u8::from(is_new));
             let is_affected = is_new
                 && elapsed >= behaviour.since
                 && nodes.entry.share.fraction() >= behaviour.min_share
                 && rng.random::<f64>() < behaviour.affected;
+            outcome.count_call(elapsed, is_new, is_affected);
             let behaviour = (behaviour, is_affected);
             let old_failure_rate = disturbance.old_failure_rate;
             record_call(&mut evidence, is_new, behaviour, old_failure_rate, &mut rng);
--- a/trefoillock-moves/tests/rollouts/main.rs
+++ b/trefoillock-moves/tests/rollouts/main.rs
@@ -34,12 +34,7 @@
         let outcome = run(rate, behaviour, disturbance, seed);
         let case = format!("{case}, {rate}/s, seed {seed}");
         assert_eq!(outcome.state, RolloutState::RolledBack, "{case}");
-        let max_exposed = outcome.max_exposed();
-        assert!(
-            outcome.exposed <= max_exposed,
-            "{case}: {} of {max_exposed}",
-            outcome.exposed
-        );
+        outcome.assert_within_limits(&case);
     }
 }
 
@@ -201,18 +196,15 @@
 }
 
 #[test]
-fn no_disturbance_lets_a_version_exceed_its_limit_before_it_completes() {
+fn no_disturbance_lets_a_version_exceed_its_limits_before_it_completes() {
     for (disturbance_name, disturbance) in disturbances() {
         for (behaviour_name, behaviour) in behaviours() {
             for rate in RATES {
                 for seed in 0..4 {
                     let outcome = run(rate, behaviour, disturbance, seed);
-                    let max_exposed = outcome.max_exposed();
-                    assert!(
-                        outcome.exposed <= max_exposed,
-                        "{disturbance_name}, {behaviour_name}, {rate}/s, seed {seed}: {} of {max_exposed}",
-                        outcome.exposed
-                    );
+                    outcome.assert_within_limits(&format!(
+                        "{disturbance_name}, {behaviour_name}, {rate}/s, seed {seed}"
+                    ));
                 }
             }
         }
