fix(moves): complete a proven version though some node lags behind

Cause: the leader decides every 0.25 s, counted from when it first saw the order, so at 0.50 and 0.25 s before the deadline. It stopped waiting for nodes that lag, and for the closing calls, 0.40 s before it and gave up 0.25 s before it: no decision falls between the two. A rollout during which some node always lags, or whose evidence comes late, could therefore never complete.

Change: waiting stops 0.55 s before the deadline, so one decision falls between.

--- a/trefoillock-moves/src/rollout_tracker.rs
+++ b/trefoillock-moves/src/rollout_tracker.rs
@@ -53,8 +53,8 @@
 /// by then.
 const COMPLETE_BEFORE_DEADLINE: Duration = Duration::from_millis(600);
 /// Time before the deadline at which the controller stops waiting for nodes that have not applied
-/// the last step.
-const STOP_WAITING_BEFORE_DEADLINE: Duration = Duration::from_millis(400);
+/// the last step. It decides at least once between this time and [`GIVE_UP_BEFORE_DEADLINE`].
+const STOP_WAITING_BEFORE_DEADLINE: Duration = Duration::from_millis(550);
 /// Time before the deadline at which a version that has not completed is rolled back, so that it is
 /// in time.
 const GIVE_UP_BEFORE_DEADLINE: Duration = Duration::from_millis(250);
--- a/trefoillock-moves/tests/rollouts/harness.rs
+++ b/trefoillock-moves/tests/rollouts/harness.rs
@@ -73,6 +73,8 @@
     pub(crate) burst_at: Duration,
     /// The fraction of calls that fail in the old versions.
     pub(crate) old_failure_rate: f64,
+    /// Whether all nodes have applied the last step whenever the leader decides.
+    pub(crate) has_converged: bool,
 }
 
 pub(crate) const CALM: Disturbance = Disturbance {
@@ -84,6 +86,7 @@
     evidence_lost_until: Duration::ZERO,
     burst_at: Duration::MAX,
     old_failure_rate: BASE_FAILURE_RATE,
+    has_converged: true,
 };
 
 /// The leader stands still while the new version is due for all calls.
@@ -266,10 +269,11 @@
     now: Timestamp,
     controller: &RolloutController,
     rollouts: &mut BTreeMap<ServiceName, Rollout>,
+    has_converged: bool,
 ) {
     let members = members();
     let allowances = controller.due_allowances(now, rollouts, &members);
-    let steps = controller.decide(now, rollouts, Some(&members), true);
+    let steps = controller.decide(now, rollouts, Some(&members), has_converged);
     let progress = controller.due_progress(now, rollouts);
     let rollout = rollouts.get_mut(&service()).expect("the rollout");
     for (_, allowance) in allowances {
@@ -405,7 +409,7 @@
         while in_transit.len() > disturbance.evidence_delay_steps {
             controller.add_evidence(now, &in_transit.remove(0));
         }
-        lead(now, &controller, &mut rollouts);
+        lead(now, &controller, &mut rollouts, disturbance.has_converged);
         let state = rollouts[&service()].state;
         if state == RolloutState::RolledBack && outcome.state == RolloutState::Running {
             outcome.state = state;
--- a/trefoillock-moves/tests/rollouts/main.rs
+++ b/trefoillock-moves/tests/rollouts/main.rs
@@ -195,6 +195,21 @@
     }
 }
 
+#[test]
+fn a_node_that_lags_behind_does_not_keep_a_good_version_from_completing() {
+    let lagging = Disturbance {
+        has_converged: false,
+        ..CALM
+    };
+    for rate in [60.0, 290.0, 600.0] {
+        for seed in 0..40 {
+            let outcome = run(rate, GOOD, lagging, seed);
+            let case = format!("{rate}/s, seed {seed}");
+            assert_eq!(outcome.state, RolloutState::Completed, "{case}");
+        }
+    }
+}
+
 #[test]
 fn no_disturbance_lets_a_version_exceed_its_limits_before_it_completes() {
     for (disturbance_name, disturbance) in disturbances() {
