perf(moves): spend what the limit leaves at the full share before the verdict

Ruled out: a milder likelihood, which lets bad versions pass.

Change: an extension there lasts for 0.25 s of all calls, within the limit and what the completion needs.

--- a/trefoillock-moves/src/rollout_plan.rs
+++ b/trefoillock-moves/src/rollout_plan.rs
@@ -31,6 +31,8 @@
 const CANARY_REPORT_TIME: Duration = Duration::from_millis(1_500);
 /// Time between two extensions at the full share.
 pub(crate) const FULL_SHARE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time at the full share for which an extension there lasts at most.
+const FULL_SHARE_EXTENSION: Duration = Duration::from_millis(250);
 /// Smallest extension beside the first one of a server, so that the configuration seldom changes.
 const MIN_EXTENSION: u64 = 5;
 /// Part of the time to stop a bad version for which an extension for the full share is valid. The rest is
@@ -106,8 +108,8 @@
         servers: &[(ServerId, Incarnation)],
     ) -> Option<RolloutAllowance> {
         let closing = to_calls(self.call_rate * CLOSING_TIME.as_secs_f64());
-        let accrued = self.call_rate * self.limits.share.fraction();
-        let most = to_calls(accrued).max(2 * MIN_EXTENSION);
+        let most = to_calls(self.call_rate * FULL_SHARE_EXTENSION.as_secs_f64());
+        let most = most.max(2 * MIN_EXTENSION);
         let calls = self.left().saturating_sub(closing).min(most);
         let purpose = AllowancePurpose::FullShare;
         (calls >= MIN_EXTENSION)
