fix(moves): keep limits that are smaller than the first canary

Found by reading the diff: a canary was granted at least one call, even where the limits allow none, and left 40 calls for the full share even where the limit is smaller, so that it waited for calls that a service with a smaller limit accrues late. The limits of all known deployments (0.1 and 50) behave as before.

Change: a canary leaves 40 calls, at most four fifths of the limit, and gets nothing beyond the limit.

--- a/trefoillock-moves/src/rollout_plan.rs
+++ b/trefoillock-moves/src/rollout_plan.rs
@@ -23,7 +23,7 @@
 /// Part of the calls that are left for the full share and the completion which at most is kept for the
 /// completion.
 const MAX_CLOSING_PART: f64 = 1.0 / 3.0;
-/// Calls of the limit that a canary leaves for the full share.
+/// Calls of the limit that a canary leaves for the full share, at most four fifths of it.
 const FULL_SHARE_RESERVE: u64 = 40;
 /// Smallest and largest number of calls of a canary that may be under way or not reported.
 const UNREPORTED_CANARY_CALLS: (f64, f64) = (25.0, 40.0);
@@ -69,9 +69,9 @@
         let (min, max) = UNREPORTED_CANARY_CALLS;
         let per_second = share.fraction() * self.call_rate;
         let unreported = to_calls((per_second * CANARY_REPORT_TIME.as_secs_f64()).clamp(min, max));
-        let goal = (self.new_calls + unreported)
-            .min(self.allowed().saturating_sub(FULL_SHARE_RESERVE))
-            .max(1);
+        let allowed = self.allowed();
+        let reserve = FULL_SHARE_RESERVE.min(allowed / 5 * 4);
+        let goal = (self.new_calls + unreported).min(allowed - reserve);
         let calls = goal.saturating_sub(self.held.granted());
         let min_extension = to_calls(per_second).clamp(MIN_EXTENSION, unreported / 2);
         let is_missing = |(server, incarnation): &(ServerId, Incarnation)| {
--- a/trefoillock-moves/tests/rollouts/harness.rs
+++ b/trefoillock-moves/tests/rollouts/harness.rs
@@ -7,8 +7,8 @@
 use rand_pcg::Pcg64Mcg;
 use trefoillock_core::{
     Announcement, DataCentre, Evidence, Incarnation, Member, MemberState, Members, MoveEvidence,
-    MoveId, NodeId, PoolEvidence, Rollout, RolloutAllowance, RolloutProgress, RolloutShare,
-    RolloutState, ServerId, ServiceName, Share, Timestamp, VersionLabel,
+    MoveId, NodeId, PoolEvidence, Rollout, RolloutAllowance, RolloutLimits, RolloutProgress,
+    RolloutShare, RolloutState, ServerId, ServiceName, Share, Timestamp, VersionLabel,
 };
 use trefoillock_moves::RolloutController;
 use trefoillock_policy::{RolloutClaim, RolloutLedger, VersionCall};
@@ -22,10 +22,6 @@
 pub(crate) const DURATION: Duration = Duration::from_secs(16);
 /// The fraction of calls that fail in a good version.
 const BASE_FAILURE_RATE: f64 = 0.004;
-/// Calls that a bad version may get by the users' rule: a fraction of the calls until the
-/// deadline, plus a fixed number.
-const MAX_EXPOSURE: (f64, f64) = (0.1, 50.0);
-
 /// The number of bad answers after which the version must soon get no more calls.
 const BAD_ANSWERS: u64 = 50;
 /// The time within which it must get none, by the users' rule.
@@ -77,6 +73,9 @@
     pub(crate) has_converged: bool,
     /// The number of time steps by which good calls take longer than those that fail.
     pub(crate) good_calls_late_steps: usize,
+    /// Calls that the new version may get by the users' rule: a fraction of the calls until the
+    /// deadline, plus a fixed number.
+    pub(crate) max_exposure: (f64, u64),
 }
 
 pub(crate) const CALM: Disturbance = Disturbance {
@@ -90,6 +89,7 @@
     old_failure_rate: BASE_FAILURE_RATE,
     has_converged: true,
     good_calls_late_steps: 0,
+    max_exposure: (0.1, 50),
 };
 
 /// The leader stands still while the new version is due for all calls.
@@ -114,6 +114,19 @@
         rate * factor * TIME_STEP.as_secs_f64()
     }
 
+    fn limits(&self) -> RolloutLimits {
+        RolloutLimits {
+            share: Share::from_fraction(self.max_exposure.0),
+            extra_calls: self.max_exposure.1,
+            ..RolloutLimits::default()
+        }
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "counts of calls are small")]
+    fn max_exposed(&self, rate: f64) -> f64 {
+        self.max_exposure.0 * self.calls(rate) + self.max_exposure.1 as f64
+    }
+
     /// The calls from the order to the deadline.
     fn calls(&self, rate: f64) -> f64 {
         let mut calls = 0.0;
@@ -135,7 +148,7 @@
     pub(crate) state: RolloutState,
     pub(crate) at: Duration,
     exposed: f64,
-    calls: f64,
+    max_exposed: f64,
 }
 
 impl Outcome {
@@ -153,7 +166,7 @@
     /// Asserts that until the rollout completed the new version got no more calls than its limit allows, and none
     /// late after its last allowed bad answer.
     pub(crate) fn assert_within_limits(&self, case: &str) {
-        let max_exposed = MAX_EXPOSURE.0 * self.calls + MAX_EXPOSURE.1;
+        let max_exposed = self.max_exposed;
         let exposed = self.exposed;
         assert!(exposed <= max_exposed, "{case}: {exposed} of {max_exposed}");
         let shown_bad_at = self.shown_bad_at.unwrap_or(Duration::MAX);
@@ -393,7 +406,8 @@
     };
     let mut nodes = Nodes::new(disturbance.learning_delay_steps, &rollout);
     let mut rollouts = BTreeMap::from([(service(), rollout)]);
-    let mut controller = RolloutController::new();
+    let limits = disturbance.limits();
+    let mut controller = RolloutController::new().with_limits(limits);
     let mut in_transit: Vec<Evidence> = Vec::new();
     let mut unfinished = Unfinished::default();
     let mut outcome = Outcome {
@@ -403,13 +417,13 @@
         state: RolloutState::Running,
         at: disturbance.duration,
         exposed: 0.0,
-        calls: disturbance.calls(rate),
+        max_exposed: disturbance.max_exposed(rate),
     };
     let mut elapsed = Duration::ZERO;
     while elapsed < disturbance.duration {
         let now = start + elapsed;
         if disturbance.restart_at == Some(elapsed) {
-            controller = RolloutController::new();
+            controller = RolloutController::new().with_limits(limits);
             in_transit.clear();
         }
         let is_leading = !disturbance.pauses_leader(elapsed);
--- a/trefoillock-moves/tests/rollouts/main.rs
+++ b/trefoillock-moves/tests/rollouts/main.rs
@@ -230,6 +230,17 @@
     }
 }
 
+#[test]
+fn small_limits_are_kept_and_still_tell_bad_versions() {
+    for max_exposure in [(0.0, 0), (0.1, 0), (0.05, 20), (0.0, 30)] {
+        let strict = Disturbance {
+            max_exposure,
+            ..CALM
+        };
+        assert_limit_kept(strict, &[8.0, 64.0, 290.0]);
+    }
+}
+
 #[test]
 fn no_disturbance_lets_a_version_exceed_its_limits_before_it_completes() {
     for (disturbance_name, disturbance) in disturbances() {
