--- a/trefoillock-process/src/explanation.rs
+++ b/trefoillock-process/src/explanation.rs
@@ -365,6 +365,9 @@
         (_, "link-full") => format!(
             "refused because the link of {node} is full and the response would come too late"
         ),
+        (_, "allowance-spent") => format!(
+            "refused because the version of {server} is being rolled out and may get no more calls"
+        ),
         (_, "no-route") => format!("no route in configuration {}", line.text("config")),
         (_, reason) => match find_restart(node, line, lines) {
             Some(start) => format!(
