refactor(moves): decide on an extension by the purpose of the last one

For a newcomer: a chain of conditions became a match, a pair of a number and a time a type with names.

--- a/trefoillock-moves/src/rollout_tracker.rs
+++ b/trefoillock-moves/src/rollout_tracker.rs
@@ -73,6 +73,13 @@
     new: PoolEvidence,
 }
 
+/// The last extension of the allowance, and when this replica learned of it.
+#[derive(Debug, Clone, Copy)]
+struct Extension {
+    serial: u32,
+    learned_at: Timestamp,
+}
+
 /// What this replica knows of one rollout.
 #[derive(Debug, Clone)]
 pub(crate) struct RolloutTracker {
@@ -83,8 +90,7 @@
     old: PoolEvidence,
     new: PoolEvidence,
     stage: StageEvidence,
-    /// The last extension of the allowance, and when this replica learned of it.
-    extended: (u32, Timestamp),
+    extension: Extension,
 }
 
 impl RolloutTracker {
@@ -96,14 +102,20 @@
             old: PoolEvidence::default(),
             new: PoolEvidence::default(),
             stage: StageEvidence::default(),
-            extended: (0, now),
+            extension: Extension {
+                serial: 0,
+                learned_at: now,
+            },
         }
     }
 
     /// Notes when the allowance was last extended.
     pub(crate) const fn observe_allowance(&mut self, now: Timestamp, allowance: &RolloutAllowance) {
-        if self.extended.0 != allowance.serial {
-            self.extended = (allowance.serial, now);
+        if self.extension.serial != allowance.serial {
+            self.extension = Extension {
+                serial: allowance.serial,
+                learned_at: now,
+            };
         }
     }
 
@@ -191,20 +203,22 @@
             call_rate: self.call_rate(now),
         };
         if share == Share::ZERO {
-            None
-        } else if share < Share::FULL {
-            plan.canary(share, servers)
-        } else if rollout.allowance.purpose == AllowancePurpose::Canary {
-            plan.full_share(servers)
-        } else if rollout.allowance.purpose == AllowancePurpose::Closing {
-            None
-        } else if remaining > COMPLETE_BEFORE_DEADLINE + CLOSING_TIME {
-            let is_due = now.since(self.extended.1) >= FULL_SHARE_INTERVAL;
-            plan.full_share_again(servers).filter(|_| is_due)
-        } else if self.is_proven_at_full_share(now, rollout) {
-            Some(plan.closing(servers))
-        } else {
-            None
+            return None;
+        }
+        if share < Share::FULL {
+            return plan.canary(share, servers);
+        }
+        match rollout.allowance.purpose {
+            AllowancePurpose::Canary => plan.full_share(servers),
+            AllowancePurpose::FullShare if remaining > COMPLETE_BEFORE_DEADLINE + CLOSING_TIME => {
+                let is_due = now.since(self.extension.learned_at) >= FULL_SHARE_INTERVAL;
+                plan.full_share_again(servers).filter(|_| is_due)
+            }
+            AllowancePurpose::FullShare => {
+                let is_proven = self.is_proven_at_full_share(now, rollout);
+                is_proven.then(|| plan.closing(servers))
+            }
+            AllowancePurpose::Closing => None,
         }
     }
 
