--- a/trefoillock-moves/tests/rollouts/main.rs
+++ b/trefoillock-moves/tests/rollouts/main.rs
@@ -230,6 +230,26 @@
     }
 }
 
+#[test]
+fn a_good_version_that_fails_as_often_as_the_old_one_passes_its_canary() {
+    let slow = Disturbance {
+        old_failure_rate: 0.015,
+        good_calls_late_steps: 2,
+        ..CALM
+    };
+    let no_worse = Behaviour {
+        affected: 0.015,
+        ..GOOD
+    };
+    for rate in [290.0, 600.0] {
+        for seed in 0..40 {
+            let outcome = run(rate, no_worse, slow, seed);
+            let case = format!("{rate}/s, seed {seed}");
+            assert_eq!(outcome.state, RolloutState::Completed, "{case}");
+        }
+    }
+}
+
 #[test]
 fn small_limits_are_kept_and_still_tell_bad_versions() {
     for max_exposure in [(0.0, 0), (0.1, 0), (0.05, 20), (0.0, 30)] {
