--- a/review/stand-ins/harness.rs
+++ b/review/stand-ins/harness.rs
@@ -627,6 +627,8 @@
 pub struct Run {
     pub id: String,
     pub path: String,
+    /// The value of `X-Caller-Service`, if there was one.
+    pub caller: Option<String>,
     pub at: f64,
 }
 
@@ -777,6 +779,7 @@
         let run = Run {
             id: received.id().to_owned(),
             path: received.path.clone(),
+            caller: received.header("x-caller-service").map(str::to_owned),
             at: received.arrived,
         };
         self.runs.lock().unwrap().push(run);
