fix(backend,control,store,roles,platform): acknowledge a departure once the log holds it

Cause: a node acknowledged what only its own memory held, or not even that. A deregistration of a run that a restarted node did not know was answered with 200 and dropped; a departure of a known run was lost with the process; one after the end of the lease was dropped too. A late heartbeat made the server ready again.

Change: a departure is a command of the replicated log. It covers runs, not announcements, so a run that nobody has announced can leave, and a later one under the same identity is not affected. Leaders show recorded runs as draining; nodes that start again take that over from the member list. Events 1211 and 1212 say whether a departure was recorded.

Why it works: the log is on a majority of disks, so no loss of processes that the system tolerates loses what was acknowledged, and a leader has applied the log before it publishes members.

--- a/trefoillock-backend/src/announcements.rs
+++ b/trefoillock-backend/src/announcements.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use displaydoc::Display;
-use trefoillock_core::{Announcement, Incarnation, MemberState, ServiceName, Timestamp};
+use trefoillock_core::{Announcement, Departure, Incarnation, MemberState, ServiceName, Timestamp};
 
 use crate::LoadReport;
 
@@ -37,6 +37,8 @@
     TooMany,
     /// no backend server announced the address {0}
     Unknown(SocketAddr),
+    /// the departure is not recorded yet; report it again
+    DepartureNotRecorded,
 }
 
 impl std::error::Error for AnnounceError {}
@@ -112,6 +114,26 @@
         Ok(previous != MemberState::Draining)
     }
 
+    /// Marks the backend servers as draining that a departure covers; they keep their leases. Returns
+    /// whether that changed an announcement.
+    pub fn depart(&mut self, departure: &Departure) -> bool {
+        let mut changed = false;
+        for lease in self.leases.values_mut() {
+            let announcement = &mut lease.announcement;
+            if departure.covers(announcement) {
+                changed |= announcement.state != MemberState::Draining;
+                announcement.state = MemberState::Draining;
+            }
+        }
+        changed
+    }
+
+    /// The announcement that holds the lease on an address; `None` if there is none.
+    #[must_use]
+    pub fn get(&self, address: SocketAddr) -> Option<&Announcement> {
+        self.leases.get(&address).map(|lease| &lease.announcement)
+    }
+
     /// Stores the load report of a backend server.
     ///
     /// # Errors
--- a/trefoillock-backend/src/lib.rs
+++ b/trefoillock-backend/src/lib.rs
@@ -4,7 +4,7 @@
 //! `trefoillock-core` and `trefoillock-policy`; `trefoillock-node` uses it to deliver calls.
 //!
 //! - [`BackendRegistry`] accepts announcements, drains and load reports over HTTP, and keeps the
-//!   lease of each backend server.
+//!   lease of each backend server. It acknowledges a departure once a [`DepartureLog`] holds it.
 //! - [`LocalServers`] holds the backend servers with a lease. A [`LocalServer`] keeps the slots and
 //!   connections of one of them and sends calls to it; a failed call returns a [`CallFailure`],
 //!   which says whether the call is proven not to have run.
@@ -15,6 +15,7 @@
 mod bounded_connection;
 mod call_bounds;
 mod connection;
+mod departure_log;
 mod dialect;
 mod failure;
 mod health_probe;
@@ -37,6 +38,7 @@
 pub use body::{
     Body, BodyError, DeadlineBody, LATE_BODY_TIME, SizedBody, box_body, empty_body, full_body,
 };
+pub use departure_log::DepartureLog;
 pub use dialect::{DefaultDialect, Dialect, ResponseKind, read_millis};
 pub use failure::{CallFailure, Crash, Execution, NotExecuted};
 pub use lease::LEASE_DURATION;
--- a/trefoillock-backend/src/serve.rs
+++ b/trefoillock-backend/src/serve.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use trefoillock_core::{Announcement, Error, Peer, Step};
+use trefoillock_core::{Announcement, Error, MemberState, Peer, Step};
 use viz::{
     IntoResponse, Request, RequestExt, RequestLimitsExt, Response, ResponseExt, Router,
     middleware::limits, types::State,
@@ -73,13 +73,23 @@
     let Ok(left) = left.transpose() else {
         return Err(StatusCode::UNPROCESSABLE_ENTITY.into_error());
     };
-    respond(backend_registry(&req)?.announce_with_warm_up(body.announcement, left))
+    let registry = backend_registry(&req)?;
+    let (is_leaving, address) = (
+        body.announcement.state == MemberState::Draining,
+        body.announcement.address,
+    );
+    let mut result = registry.announce_with_warm_up(body.announcement, left);
+    if is_leaving && result.is_ok() {
+        result = registry.drain_and_record(address).await;
+    }
+    respond(result)
 }
 
 /// Handles `POST /drain`.
 async fn drain(mut req: Request) -> viz::Result<Response> {
     let drain: DrainRequest = req.json_with_limit().await?;
-    respond(backend_registry(&req)?.drain(drain.address))
+    let registry = backend_registry(&req)?;
+    respond(registry.drain_and_record(drain.address).await)
 }
 
 /// Handles `POST /load`.
@@ -102,6 +112,7 @@
         AnnounceError::NoCapacity => StatusCode::UNPROCESSABLE_ENTITY,
         AnnounceError::Unknown(_) => StatusCode::NOT_FOUND,
         AnnounceError::TooMany => StatusCode::TOO_MANY_REQUESTS,
+        AnnounceError::DepartureNotRecorded => StatusCode::SERVICE_UNAVAILABLE,
         AnnounceError::LowerIncarnation { .. }
         | AnnounceError::AddressClash { .. }
         | AnnounceError::DrainReverted(_) => StatusCode::CONFLICT,
--- a/trefoillock-control/src/agent.rs
+++ b/trefoillock-control/src/agent.rs
@@ -63,6 +63,8 @@
     pub confirmed_round: watch::Receiver<u64>,
     /// The last confirmation of a live leader.
     pub confirmation: watch::Receiver<Option<Confirmation>>,
+    /// The mesh addresses of all known control replicas.
+    pub control: watch::Receiver<Vec<SocketAddr>>,
     /// What happens to the connection to the parent, for the log.
     pub parent_events: mpsc::Receiver<ParentEvent>,
 }
@@ -86,6 +88,7 @@
     members: watch::Sender<Arc<Members>>,
     confirmed_round: watch::Sender<u64>,
     confirmation: watch::Sender<Option<Confirmation>>,
+    control: watch::Sender<Vec<SocketAddr>>,
     round_times: RoundTimes,
     parent_events: mpsc::Sender<ParentEvent>,
     token: Token,
@@ -117,6 +120,7 @@
         let (members_tx, members) = watch::channel(Arc::default());
         let (round_tx, confirmed_round) = watch::channel(0);
         let (confirmation_tx, confirmation) = watch::channel(None);
+        let (control_tx, control_rx) = watch::channel(control.clone());
         let (parent_events_tx, parent_events) = mpsc::channel(PARENT_EVENT_CAPACITY);
         let rng = Pcg64Mcg::seed_from_u64(rand::random());
         let agent = Self {
@@ -126,6 +130,7 @@
             members: members_tx,
             confirmed_round: round_tx,
             confirmation: confirmation_tx,
+            control: control_tx,
             round_times: RoundTimes::default(),
             parent_events: parent_events_tx,
             token,
@@ -145,6 +150,7 @@
                 members,
                 confirmed_round,
                 confirmation,
+                control: control_rx,
                 parent_events,
             },
         )
@@ -272,6 +278,14 @@
             self.confirmation
                 .send_replace(Some(Confirmation { asked_at, version }));
         }
+        let control = self.machine.control_replicas();
+        self.control.send_if_modified(|last| {
+            let is_new = last != control;
+            if is_new {
+                control.clone_into(last);
+            }
+            is_new
+        });
         let config = self.machine.config();
         self.config.send_if_modified(|last| {
             let is_new = last.as_ref().map(|c| c.version()) != config.map(|c| c.version());
--- a/trefoillock-control/src/control_agent.rs
+++ b/trefoillock-control/src/control_agent.rs
@@ -5,7 +5,9 @@
 
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
-use trefoillock_core::{CrashReport, Evidence, Fingerprint, Guard, Members, Timestamp};
+use trefoillock_core::{
+    CrashReport, DrainedRuns, Evidence, Fingerprint, Guard, Members, Timestamp,
+};
 use trefoillock_process::BootInstant;
 use trefoillock_rpc::RpcServer;
 
@@ -33,6 +35,9 @@
     pub lease: watch::Receiver<Option<BootInstant>>,
     /// The request fingerprints that nodes must refuse, each with the end of its quarantine.
     pub quarantined: watch::Receiver<BTreeMap<Fingerprint, Timestamp>>,
+    /// The runs of backend servers whose departure is in the replicated log, as far as the replica
+    /// has applied it.
+    pub departures: watch::Receiver<Arc<DrainedRuns>>,
 }
 
 /// The outputs of the distribution for the control replica. They are current only on the leader.
@@ -118,14 +123,18 @@
         let mut last_output = Timestamp::EPOCH;
         self.inputs.state.mark_changed();
         self.inputs.quarantined.mark_changed();
+        self.inputs.departures.mark_changed();
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
                 Ok(()) = self.inputs.state.changed() => {
                     self.update_lease();
                     let state = self.inputs.state.borrow_and_update().clone();
+                    // A new leader must know all departures before it publishes a member list.
+                    self.update_departures();
                     self.machine.set_state(self.clock.now(), &state);
                 }
+                Ok(()) = self.inputs.departures.changed() => self.update_departures(),
                 Ok(()) = self.inputs.quarantined.changed() => {
                     let quarantined = self.inputs.quarantined.borrow_and_update().clone();
                     self.machine.set_quarantined(quarantined);
@@ -153,6 +162,11 @@
         self.machine.set_lease_held(holds_lease);
     }
 
+    fn update_departures(&mut self) {
+        let departures = self.inputs.departures.borrow_and_update().clone();
+        self.machine.set_departures(departures);
+    }
+
     fn on_event(&mut self, event: ChildEvent) {
         self.update_lease();
         let now = self.clock.now();
--- a/trefoillock-control/src/control_machine.rs
+++ b/trefoillock-control/src/control_machine.rs
@@ -13,8 +13,8 @@
 };
 
 use trefoillock_core::{
-    Config, CrashReport, DataCentre, Evidence, Fingerprint, Guard, Map, Members, MembersVersion,
-    NodeId, Term, Timestamp,
+    Config, CrashReport, DataCentre, DrainedRuns, Evidence, Fingerprint, Guard, Map, Members,
+    MembersVersion, NodeId, Term, Timestamp,
 };
 
 use crate::{
@@ -102,6 +102,8 @@
     /// Whether the member list may have changed since it was last built.
     is_dirty: bool,
     quarantined: BTreeMap<Fingerprint, Timestamp>,
+    /// The runs of backend servers whose departure is in the replicated log.
+    departures: Arc<DrainedRuns>,
     /// The nodes that were attached when this replica last stopped leading.
     last_relays: Vec<(DataCentre, SocketAddr)>,
     /// The nodes that wait until a leader is known, each with the end of its wait.
@@ -133,6 +135,7 @@
             max_servers_known: 0,
             is_dirty: false,
             quarantined: BTreeMap::new(),
+            departures: Arc::default(),
             last_relays: Vec::new(),
             waiting: Map::default(),
             replicas: Vec::new(),
@@ -213,6 +216,8 @@
 
     fn start_leading(&mut self, now: Timestamp, term: Term) {
         self.node_table = NodeTable::default();
+        self.node_table
+            .set_recorded_departures(self.departures.clone());
         self.distributor.clear_members();
         self.planner = TreePlanner::default();
         self.version = MembersVersion::new(term, 0).max(self.version);
@@ -380,6 +385,13 @@
         self.quarantined = quarantined;
     }
 
+    /// Sets the runs of backend servers whose departure is in the replicated log.
+    pub fn set_departures(&mut self, departures: Arc<DrainedRuns>) {
+        self.departures = departures.clone();
+        self.node_table.set_recorded_departures(departures);
+        self.is_dirty = true;
+    }
+
     /// Returns whether this replica is the leader and its lease holds.
     #[must_use]
     pub const fn is_leading(&self) -> bool {
--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -475,6 +475,12 @@
         }
     }
 
+    /// Returns the mesh addresses of all known control replicas.
+    #[must_use]
+    pub fn control_replicas(&self) -> &[SocketAddr] {
+        self.uplink.control_replicas()
+    }
+
     /// Returns whether a parent has accepted this node.
     #[must_use]
     pub fn is_attached(&self) -> bool {
--- a/trefoillock-control/src/node_table.rs
+++ b/trefoillock-control/src/node_table.rs
@@ -30,10 +30,19 @@
 pub struct NodeTable {
     nodes: BTreeMap<NodeId, NodeEntry>,
     damper: FlapDamper,
+    /// The runs that nodes have announced as draining since this replica leads.
     drained: DrainedRuns,
+    /// The runs whose departure is in the replicated log.
+    recorded: Arc<DrainedRuns>,
 }
 
 impl NodeTable {
+    /// Replaces the runs whose departure is in the replicated log. They are never up again, whatever
+    /// their node announces.
+    pub fn set_recorded_departures(&mut self, recorded: Arc<DrainedRuns>) {
+        self.recorded = recorded;
+    }
+
     /// Inserts or replaces the record of a node, unless a newer one is known, and marks the
     /// node as attached.
     pub fn insert_record(&mut self, now: Timestamp, record: NodeRecord) {
@@ -137,7 +146,7 @@
             }
             for mut member in members_of(&entry.record) {
                 // A node that has restarted may not know that the run has drained.
-                if self.drained.contains(&member) {
+                if self.drained.contains(&member) || self.recorded.contains(&member) {
                     member.announcement.state = MemberState::Draining;
                 }
                 if self.damper.allows(now, &member) {
--- a/trefoillock-control/src/uplink.rs
+++ b/trefoillock-control/src/uplink.rs
@@ -377,6 +377,13 @@
         self.candidates.learned()
     }
 
+    /// Returns all known control replicas: those that the leader listed last, and those from the
+    /// settings.
+    #[must_use]
+    pub fn control_replicas(&self) -> &[SocketAddr] {
+        self.candidates.control()
+    }
+
     /// Returns the connection to the parent that accepted this node, if it is attached.
     #[must_use]
     pub fn attached(&self) -> Option<LinkId> {
--- a/trefoillock-control/src/uplink/candidates.rs
+++ b/trefoillock-control/src/uplink/candidates.rs
@@ -142,6 +142,11 @@
         &self.learned
     }
 
+    /// Returns the control replicas.
+    pub(super) fn control(&self) -> &[SocketAddr] {
+        &self.control
+    }
+
     /// Returns the number of control replicas.
     pub(super) const fn control_count(&self) -> usize {
         self.control.len()
--- a/trefoillock-control/tests/membership.rs
+++ b/trefoillock-control/tests/membership.rs
@@ -3,13 +3,13 @@
 
 mod common;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use trefoillock_control::{
     AttachLimiter, LostNode, NodeRecord, NodeTable,
     timing::{ORPHAN_LEASE, REATTACH_LEASE},
 };
-use trefoillock_core::{Incarnation, MemberState, NodeId, Timestamp};
+use trefoillock_core::{Departure, DrainedRuns, Incarnation, MemberState, NodeId, Timestamp};
 
 const START: Timestamp = Timestamp::from_secs(1_000);
 
@@ -154,3 +154,28 @@
     table.insert_record(START, restarted);
     assert_eq!(state_of(&table), MemberState::Up);
 }
+
+/// Guards against a leader that lets a run take calls whose departure an earlier leader has
+/// acknowledged, because the node beside it and the leader started again.
+#[test]
+fn a_run_whose_departure_is_in_the_log_is_not_up_under_a_new_leader() {
+    let mut table = NodeTable::default();
+    let mut record = record(1, 2, 1);
+    record.announcements[0].incarnation = Incarnation::new(1);
+    let mut recorded = DrainedRuns::new();
+    let departure = Departure::from(&record.announcements[0]);
+    recorded.record(&record.node, &departure);
+    table.set_recorded_departures(Arc::new(recorded));
+    let state_of = |table: &NodeTable| {
+        let servers = table.servers(START);
+        let member = servers.values().next().expect("a server");
+        member.announcement.state
+    };
+    table.insert_record(START, record.clone());
+    assert_eq!(state_of(&table), MemberState::Draining);
+
+    record.revision = 2;
+    record.announcements[0].incarnation = Incarnation::new(2);
+    table.insert_record(START, record);
+    assert_eq!(state_of(&table), MemberState::Up);
+}
--- a/trefoillock-control/tests/sockets.rs
+++ b/trefoillock-control/tests/sockets.rs
@@ -51,6 +51,7 @@
             state: state_rx,
             lease: watch::channel(Some(lease_end)).1,
             quarantined: quarantined_rx,
+            departures: watch::channel(Arc::default()).1,
         };
         let (agent, outputs) = ControlAgent::new(address, inputs);
         let stop = CancellationToken::new();
--- a/trefoillock-core/src/lib.rs
+++ b/trefoillock-core/src/lib.rs
@@ -24,6 +24,7 @@
 mod call_rate;
 mod collections;
 mod config;
+mod departure;
 mod drained_runs;
 mod edit;
 mod error;
@@ -53,6 +54,7 @@
 pub use call_rate::{CallRate, CallRateError};
 pub use collections::{Map, SeededMap, SeededSet, Set};
 pub use config::{Config, ConfigDelta, ConfigError, Evacuations, MoveShare, WorkspacesDelta};
+pub use departure::{DepartedRuns, Departure, ServerProcess};
 pub use drained_runs::DrainedRuns;
 pub use edit::{Edit, EditAnswer, EditConflict, EditRefusal, TablesDiff};
 pub use error::{Error, Peer, Step};
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -113,6 +113,12 @@
     ServerCold = 1209, "server-cold", Info;
     /// A backend server is warm again, and the limit of the warm-up has ended; fields: address, omitted.
     ServerWarm = 1210, "server-warm", Info;
+    /// Control has recorded that a backend server left, and its departure is acknowledged; fields: server, runs by their
+    /// incarnation, millis it took.
+    DepartureRecorded = 1211, "departure-recorded", Info;
+    /// Control has not recorded in time that a backend server left. The server gets no new calls from this node, but its
+    /// departure is not acknowledged; fields: server, runs by their incarnation, millis it took.
+    DepartureUnrecorded = 1212, "departure-unrecorded", Warn;
     /// A node cut the share of a new pool to zero on its own evidence; fields: route, move.
     LocalCut = 1301, "local-cut", Warn;
     /// A rollout took a step, and this node has backend servers of the new version; fields: rollout, service, version, step,
--- a/trefoillock-roles/src/control_role.rs
+++ b/trefoillock-roles/src/control_role.rs
@@ -8,14 +8,17 @@
 };
 
 use tokio::sync::watch;
-use trefoillock_control::{ControlAgent, ControlInputs, ControlState, LeadershipRole};
-use trefoillock_core::{Error, Peer, Step};
+use trefoillock_control::{
+    ControlAgent, ControlInputs, ControlState, LeadershipRole, RecordAnswer, add_record_call,
+};
+use trefoillock_core::{Departure, Error, NodeId, Peer, Step};
 use trefoillock_policy::BurnMeter;
 use trefoillock_process::{BootstrapMode, ControlSettings, Event};
 use trefoillock_replica::{
     DataFolder, DueChange, MembershipChange, MembershipManager, Refusal, ReplicaHandle,
 };
 use trefoillock_rpc::{RpcServer, TrafficCounter};
+use trefoillock_store::Command;
 
 use crate::{
     data_folder::{SYSTEM_NAME, replica_settings},
@@ -65,11 +68,16 @@
             state,
             lease: replica.lease(),
             quarantined,
+            departures: store.subscribe_drained_runs(),
         };
         let (agent, outputs) = ControlAgent::new(settings.mesh, inputs);
         let traffic = Arc::new(TrafficCounter::new());
         let server = RpcServer::new(context.token.clone(), traffic.clone());
-        let mut server = agent.add_rpc_handlers(replica.add_rpc_handlers(server));
+        let server = agent.add_rpc_handlers(replica.add_rpc_handlers(server));
+        let (recording, voters) = (replica.clone(), membership_manager.clone());
+        let mut server = add_record_call(server, move |node, departure| {
+            record_departure(recording.clone(), voters.clone(), node, departure)
+        });
         if let (Some(manager), BootstrapMode::FromSeeds { seeds, .. }) =
             (&membership_manager, &settings.bootstrap)
         {
@@ -206,6 +214,40 @@
     Some(manager)
 }
 
+/// Commits the departure of a backend server beside a node to the replicated log. Like an order of an
+/// operator, it must survive the number of lost replicas that the system is configured to tolerate.
+async fn record_departure(
+    replica: ReplicaHandle,
+    membership_manager: Option<MembershipManager>,
+    node: NodeId,
+    departure: Departure,
+) -> RecordAnswer {
+    let not_leader = || {
+        let status = replica.status();
+        let status = status.borrow();
+        let leader = status.leader_address().filter(|(id, _)| *id != status.id);
+        RecordAnswer::NotLeader(leader.map(|(_, address)| address))
+    };
+    let mut manager = membership_manager.iter();
+    if !manager.all(MembershipManager::has_enough_voters) {
+        return not_leader();
+    }
+    let command = match (Command::RecordDeparture { node, departure }).encode() {
+        Ok(command) => command,
+        Err(error) => {
+            log::error!("a departure cannot be encoded: {error}");
+            return not_leader();
+        }
+    };
+    match replica.propose(command).await {
+        Ok(_) => RecordAnswer::Recorded,
+        Err(error) => {
+            log::debug!("a departure was not committed: {error}");
+            not_leader()
+        }
+    }
+}
+
 /// Logs a membership change that no operator ordered.
 fn write_membership_change(events: EventLog, due: &DueChange) {
     let (change, id) = match due.change {
--- a/trefoillock-roles/src/lib.rs
+++ b/trefoillock-roles/src/lib.rs
@@ -15,6 +15,7 @@
 mod in_force_gate;
 mod leader_driver;
 mod leadership;
+mod logged_departures;
 mod metrics;
 mod move_event_log;
 mod node_role;
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -14,11 +14,12 @@
     time::Instant,
 };
 use tokio_util::task::TaskTracker;
-use trefoillock_backend::{BackendRegistry, LocalServers, ServerChange, ServerEvent};
+use trefoillock_backend::{BackendRegistry, DepartureLog, LocalServers, ServerChange, ServerEvent};
 use trefoillock_control::{
-    Confirmation, LocalEvidence, NodeAgent, NodeIdentity, NodeInputs, NodeOutputs,
+    Confirmation, DepartureRecorder, LocalEvidence, NodeAgent, NodeIdentity, NodeInputs,
+    NodeOutputs,
 };
-use trefoillock_core::{CallRate, Error, Evidence, Incarnation};
+use trefoillock_core::{CallRate, Departure, Error, Evidence, Incarnation, Members};
 use trefoillock_moves::LocalAnalysis;
 use trefoillock_node::{CallLog, NodeContext, NodeView, QuotaEvent, WorkspaceSeriesChooser};
 use trefoillock_policy::VersionCalls;
@@ -26,8 +27,9 @@
 use trefoillock_rpc::{RpcServer, TrafficCounter};
 
 use crate::{
-    event_log::EventLog, metrics::CallLabels, parent_event_log::write_parent_event,
-    process_context::ProcessContext, quota_metrics::QuotaLabels,
+    event_log::EventLog, logged_departures::LoggedDepartures, metrics::CallLabels,
+    parent_event_log::write_parent_event, process_context::ProcessContext,
+    quota_metrics::QuotaLabels,
 };
 
 /// The time between two reports of evidence.
@@ -65,7 +67,6 @@
             protocol.announcement_lease(),
             protocol.dialect(),
         );
-        let registry = Arc::new(registry);
         let incarnation = Incarnation::new(context.clock.now().as_micros());
         let (name, data_centre) = (
             context.settings.name.clone(),
@@ -107,6 +108,8 @@
             traffic.clone(),
             inputs,
         );
+        let departures = departure_log(context, &outputs, traffic.clone());
+        let registry = Arc::new(registry.with_departure_log(departures));
         let server = RpcServer::new(context.token.clone(), traffic.clone());
         let server = agent.add_rpc_handlers(server);
 
@@ -132,6 +135,7 @@
         let tasks = NodeTasks {
             context: context.clone(),
             node,
+            registry: registry.clone(),
             traffic,
         };
         let confirmed_round = outputs.confirmed_round.clone();
@@ -164,12 +168,24 @@
     }
 }
 
+/// Creates the log in which the departures of the backend servers beside the node are recorded.
+fn departure_log(
+    context: &ProcessContext,
+    outputs: &NodeOutputs,
+    traffic: Arc<TrafficCounter>,
+) -> Arc<dyn DepartureLog> {
+    let (name, token) = (context.settings.name.clone(), context.token.clone());
+    let recorder = DepartureRecorder::new(name, outputs.control.clone(), token, traffic);
+    Arc::new(LoggedDepartures::new(recorder, context.events))
+}
+
 /// Background tasks between the calls and the distribution tree: applies configurations and member
 /// lists, and reports evidence.
 #[derive(Clone)]
 struct NodeTasks {
     context: ProcessContext,
     node: Arc<NodeContext>,
+    registry: Arc<BackendRegistry>,
     traffic: Arc<TrafficCounter>,
 }
 
@@ -190,6 +206,7 @@
                 }
                 Ok(()) = outputs.members.changed() => {
                     let members = outputs.members.borrow_and_update().clone();
+                    self.apply_recorded_departures(&members);
                     self.node.view().set_members(members);
                 }
                 Ok(()) = outputs.confirmation.changed() => {
@@ -209,6 +226,17 @@
         }
     }
 
+    /// Lets the backend servers beside this node leave whose departure an earlier process of this
+    /// node has reported.
+    fn apply_recorded_departures(&self, members: &Members) {
+        let name = &self.context.settings.name;
+        let own = members.servers.values().filter(|m| m.id.node == *name);
+        for member in own.filter(|member| !member.is_up()) {
+            self.registry
+                .apply_departure(&Departure::from(&member.announcement));
+        }
+    }
+
     fn is_stopping(&self) -> bool {
         self.context.health.stopping.load(Ordering::Relaxed)
     }
--- a/trefoillock-stand-ins/examples/control/sockets.rs
+++ b/trefoillock-stand-ins/examples/control/sockets.rs
@@ -84,6 +84,7 @@
         state: state_rx,
         lease: watch::channel(Some(lease_end)).1,
         quarantined: quarantined_rx,
+        departures: watch::channel(Arc::default()).1,
     };
     let (agent, outputs) = ControlAgent::new(address, inputs);
     let source_traffic = Arc::new(TrafficCounter::new());
--- a/trefoillock-store/src/command.rs
+++ b/trefoillock-store/src/command.rs
@@ -1,8 +1,8 @@
 //! Commands of the replicated log and the answers to them.
 
 use trefoillock_core::{
-    DataCentre, Edit, EditAnswer, GuardSet, GuardSlot, MoveId, MoveStep, RolloutAllowance,
-    RolloutProgress, RolloutStep, ServiceName, Timestamp, VersionLabel, data,
+    DataCentre, Departure, Edit, EditAnswer, GuardSet, GuardSlot, MoveId, MoveStep, NodeId,
+    RolloutAllowance, RolloutProgress, RolloutStep, ServiceName, Timestamp, VersionLabel, data,
 };
 
 use crate::{EncodingError, ReplaceAnswer, TablesReplacement, encoding};
@@ -64,6 +64,13 @@
         /// The data centre to readmit.
         data_centre: DataCentre,
     },
+    /// Records that a backend server has left. The configuration stays the same.
+    RecordDeparture {
+        /// The node beside the backend server.
+        node: NodeId,
+        /// The runs that have left.
+        departure: Departure,
+    },
 }
 
 impl Command {
@@ -120,6 +127,8 @@
     RolloutAllowance(bool),
     /// Whether an order about an evacuation changed something; if not, it was already in effect.
     Evacuation(bool),
+    /// The departure is recorded; whether it was not known before.
+    Departure(bool),
     /// The entry could not be decoded; the state is unchanged.
     Undecodable,
 }
--- a/trefoillock-store/src/table_store.rs
+++ b/trefoillock-store/src/table_store.rs
@@ -9,10 +9,10 @@
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 use trefoillock_core::{
-    Config, ConfigVersion, DataCentre, Edit, EditAnswer, EditId, EditRefusal, Evacuations,
-    GuardSet, GuardSlot, GuardTable, LogIndex, Move, MoveId, MoveShare, MoveState, MoveStep,
-    Rollout, RolloutAllowance, RolloutProgress, RolloutShare, RolloutState, RolloutStep, RouteName,
-    ServiceName, Share, Tables, TakeBackReason, Timestamp, VersionLabel,
+    Config, ConfigVersion, DataCentre, DrainedRuns, Edit, EditAnswer, EditId, EditRefusal,
+    Evacuations, GuardSet, GuardSlot, GuardTable, LogIndex, Move, MoveId, MoveShare, MoveState,
+    MoveStep, Rollout, RolloutAllowance, RolloutProgress, RolloutShare, RolloutState, RolloutStep,
+    RouteName, ServiceName, Share, Tables, TakeBackReason, Timestamp, VersionLabel,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -61,6 +61,9 @@
     documents: VecDeque<AcceptedDocument>,
     #[serde(default)]
     rollouts: BTreeMap<ServiceName, Rollout>,
+    /// The departures that nodes have recorded.
+    #[serde(default)]
+    drained: Arc<DrainedRuns>,
 }
 
 /// Hash of an accepted document and the version it resulted in, to answer resends.
@@ -111,6 +114,12 @@
         &self.state.rollouts
     }
 
+    /// The runs of backend servers whose departure nodes have recorded.
+    #[must_use]
+    pub const fn drained_runs(&self) -> &Arc<DrainedRuns> {
+        &self.state.drained
+    }
+
     /// Applies the command at a position of the log.
     ///
     /// The result depends on the state and the arguments only, so that all replicas agree.
@@ -145,6 +154,10 @@
             Command::FinishEvacuation { data_centre } => {
                 CommandAnswer::Evacuation(self.finish_evacuation(version, &data_centre))
             }
+            Command::RecordDeparture { node, departure } => {
+                let drained = Arc::make_mut(&mut self.state.drained);
+                CommandAnswer::Departure(drained.record(&node, &departure))
+            }
         }
     }
 
