fix(policy): compute the share of exports without overflow

Cause: three quarters of the slots were computed in 32 bits. A backend server that states 1,431,655,766 slots or more overflowed it: one export at a time in a release build, a panic in a debug build.

Evidence: a_huge_number_of_slots_does_not_limit_exports failed before with "attempt to multiply with overflow".

Result: it passes; the share is computed in 64 bits.

--- a/trefoillock-policy/src/admission.rs
+++ b/trefoillock-policy/src/admission.rs
@@ -435,7 +435,9 @@
             .others_offered_at
             .is_some_and(|at| now.since(at) < EXPORT_LIMIT_DURATION);
         if others {
-            (self.slots * EXPORT_SLOT_SHARE.0 / EXPORT_SLOT_SHARE.1).max(1)
+            let (share, whole) = EXPORT_SLOT_SHARE;
+            let limit = u64::from(self.slots) * u64::from(share) / u64::from(whole);
+            u32::try_from(limit).unwrap_or(u32::MAX).max(1)
         } else {
             self.slots
         }
--- a/trefoillock-policy/tests/admission.rs
+++ b/trefoillock-policy/tests/admission.rs
@@ -495,3 +495,18 @@
     );
     assert_eq!(offer, Offer::Admitted);
 }
+
+/// Guards against an overflow with a backend server that states a huge number of slots, which limits its
+/// exports to one at a time or ends the process.
+#[test]
+fn a_huge_number_of_slots_does_not_limit_exports() {
+    for slots in [1_431_655_766, u32::MAX] {
+        let mut admission = Admission::new(slots, u32::MAX, QUEUE_TIME);
+        let deadline = START + Duration::from_secs(10);
+        let classes = [RouteClass::Lookup, RouteClass::Export, RouteClass::Export];
+        for (number, class) in (1..).zip(classes) {
+            let offer = admission.offer(START, Ticket::new(number), Demand::new(class, deadline));
+            assert_eq!(offer, Offer::Admitted, "{slots} slots, call {number}");
+        }
+    }
+}
