fix(rpc,store): read MessagePack to a depth that a stack bears

Cause: the reader's own limit, 1,024 levels, is not derived from the stack. A level takes about 2 KB in a debug build, and 2 MiB are the stack of a thread. The release build read 1,000 levels and refused 2,000.

Evidence: odd_messages_are_refused_and_the_server_goes_on ended with a stack overflow before, in the debug build.

Change: messages and stored values are read to 128 levels; ours have under 20. A configuration or member list that cannot be read is logged.

Result: the test passes for depths of 120 to 20,000.

--- a/trefoillock-control/src/node_machine.rs
+++ b/trefoillock-control/src/node_machine.rs
@@ -378,6 +378,7 @@
 
     fn apply_config(&mut self, payload: &Payload) {
         let Some(update) = payload.decode::<ConfigUpdate>() else {
+            log::warn!("a configuration cannot be read; a snapshot is asked for");
             self.repair = Repair::Snapshot;
             return;
         };
@@ -404,6 +405,7 @@
 
     fn apply_members(&mut self, payload: &Payload) {
         let Some(update) = payload.decode::<MembersUpdate>() else {
+            log::warn!("a member list cannot be read; the parent sends it again");
             return;
         };
         let is_delta = matches!(update, MembersUpdate::Delta(_));
--- a/trefoillock-rpc/src/codec.rs
+++ b/trefoillock-rpc/src/codec.rs
@@ -11,6 +11,9 @@
 
 use crate::TrafficCounter;
 
+/// The deepest nesting of a message that is read. A deeper one could exceed the stack of a thread.
+const MAX_DEPTH: usize = 128;
+
 /// Encodes messages of type `E`, decodes messages of type `D` and counts their encoded bytes.
 #[derive(Debug)]
 pub struct MessageCodec<E, D> {
@@ -89,8 +92,12 @@
         let length = src.remaining();
         self.traffic.add_received(length);
         let bytes = src.copy_to_bytes(length);
-        rmp_serde::from_slice(&bytes).map(Some).map_err(|error| {
-            Status::invalid_argument(format!("message cannot be decoded: {error}"))
-        })
+        let mut deserializer = rmp_serde::Deserializer::from_read_ref(&bytes);
+        deserializer.set_max_depth(MAX_DEPTH);
+        D::deserialize(&mut deserializer)
+            .map(Some)
+            .map_err(|error| {
+                Status::invalid_argument(format!("message cannot be decoded: {error}"))
+            })
     }
 }
--- a/trefoillock-store/src/encoding.rs
+++ b/trefoillock-store/src/encoding.rs
@@ -17,6 +17,8 @@
 const BROTLI_WINDOW_BITS: u32 = 20;
 /// Size of the compressor's and the decompressor's buffers in bytes.
 const BUFFER_BYTES: usize = 4_096;
+/// Deepest nesting of a value that is read. A deeper one could exceed the stack of a thread.
+const MAX_DEPTH: usize = 128;
 /// Largest decompressed size, in bytes, that is read; far above any configuration.
 const MAX_DECOMPRESSED_BYTES: u64 = 256 << 20;
 
@@ -50,12 +52,18 @@
 /// Returns an error if the bytes are corrupt or of another type.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, EncodingError> {
     let Some(compressed) = bytes.strip_prefix(&[COMPRESSED_MARKER]) else {
-        return rmp_serde::from_slice(bytes).map_err(EncodingError::new);
+        return decode_plain(bytes);
     };
     let mut plain = Vec::new();
     brotli::Decompressor::new(compressed, BUFFER_BYTES)
         .take(MAX_DECOMPRESSED_BYTES)
         .read_to_end(&mut plain)
         .map_err(EncodingError::new)?;
-    rmp_serde::from_slice(&plain).map_err(EncodingError::new)
+    decode_plain(&plain)
+}
+
+fn decode_plain<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, EncodingError> {
+    let mut deserializer = rmp_serde::Deserializer::from_read_ref(bytes);
+    deserializer.set_max_depth(MAX_DEPTH);
+    T::deserialize(&mut deserializer).map_err(EncodingError::new)
 }
