fix(backend,platform): believe no copy of a refusal on a kept connection

Cause: a refusal that does not repeat the identity of its call was believed and its connection kept, so its copy was believed for the next call. One that repeats an identity chosen by the caller was believed for the same call sent again over the same connection.

Change: after a refusal without an identity the connection is closed. A connection remembers up to 64 refused identities of callers and does not carry such a call again.

--- a/trefoillock-backend/src/connection.rs
+++ b/trefoillock-backend/src/connection.rs
@@ -11,6 +11,7 @@
     task::{Context, Poll},
 };
 
+use http::HeaderValue;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -29,11 +30,14 @@
 
 /// The largest number of bytes that are buffered of a response.
 const READ_BUFFER_BYTES: usize = 128 * 1024;
+/// The number of refusals after which a connection is closed, so that it need not remember more.
+const MAX_REFUSALS: usize = 64;
 
 /// A connection that carries one call at a time.
 ///
 /// It is reused only after its response is complete. Dropping it closes the connection, so the rest
-/// of an abandoned response is never read as the response to another call.
+/// of an abandoned response is never read as the response to another call. It remembers the calls that
+/// were refused on it: if such a call is sent again, a copy of its refusal must not be read as a new one.
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Body>,
@@ -41,6 +45,8 @@
     bounds: Arc<CallBounds>,
     task: JoinHandle<()>,
     pub(crate) idle_since: Instant,
+    /// The identities under which callers sent the calls that were refused.
+    refused: Vec<HeaderValue>,
     _permit: ConnectionPermit,
 }
 
@@ -67,6 +73,7 @@
             bounds,
             task,
             idle_since: Instant::now(),
+            refused: Vec::new(),
             _permit: permit,
         })
     }
@@ -91,6 +98,18 @@
         self.bounds.end_call()
     }
 
+    /// Records that a call was refused, with the identity under which its caller sent it. Returns
+    /// whether the connection may carry other calls.
+    pub(crate) fn record_refusal(&mut self, caller_identity: Option<HeaderValue>) -> bool {
+        self.refused.extend(caller_identity);
+        self.refused.len() < MAX_REFUSALS
+    }
+
+    /// Whether a call with this identity was refused on this connection.
+    pub(crate) fn has_refused(&self, caller_identity: &HeaderValue) -> bool {
+        self.refused.contains(caller_identity)
+    }
+
     /// The number of bytes written to the socket so far.
     pub(crate) fn bytes_written(&self) -> u64 {
         self.bytes_written.load(Ordering::Acquire)
--- a/trefoillock-backend/src/dialect.rs
+++ b/trefoillock-backend/src/dialect.rs
@@ -18,6 +18,8 @@
     Answer,
     /// The backend server rejected the call without running it.
     DidNotRun,
+    /// The same, but the response does not say which call it belongs to.
+    DidNotRunUnidentified,
     /// It does not match the call; whether the call ran is unknown.
     Mismatched,
 }
@@ -36,6 +38,13 @@
         workspace: Option<&WorkspaceName>,
     ) -> Option<HeaderValue>;
 
+    /// The identity under which the caller may send a request more than once. `None` if
+    /// [`Dialect::write_request_headers`] gives each request one of its own.
+    fn caller_identity(&self, map: &HeaderMap) -> Option<HeaderValue> {
+        let _ = map;
+        None
+    }
+
     /// Classifies a response by its head. `expected` is what [`Dialect::write_request_headers`]
     /// returned for the request.
     fn classify_response(&self, expected: Option<&HeaderValue>, head: &Parts) -> ResponseKind;
@@ -97,10 +106,11 @@
         }
         let outcome = head.headers.get(headers::OUTCOME);
         let refused = outcome.is_some_and(|value| value.as_bytes() == b"did-not-run");
-        if head.status == StatusCode::SERVICE_UNAVAILABLE && refused {
-            ResponseKind::DidNotRun
-        } else {
-            ResponseKind::Answer
+        let refused = refused && head.status == StatusCode::SERVICE_UNAVAILABLE;
+        match call {
+            Some(_) if refused => ResponseKind::DidNotRun,
+            None if refused => ResponseKind::DidNotRunUnidentified,
+            Some(_) | None => ResponseKind::Answer,
         }
     }
 
--- a/trefoillock-backend/src/local_server.rs
+++ b/trefoillock-backend/src/local_server.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use tokio::{
     net::TcpStream,
     time::{Instant, sleep, timeout, timeout_at},
@@ -376,7 +376,9 @@
             .await
             .map_err(|refused| refusal(refused.reason).with_retry_after(refused.retry_after))?;
         self.check_available().map_err(refusal)?;
-        let conn = self.acquire_connection(&limits).await.map_err(refusal)?;
+        let identity = self.dialect.caller_identity(req.headers());
+        let conn = self.acquire_connection(&limits, identity.as_ref()).await;
+        let conn = conn.map_err(refusal)?;
         // An evacuation may have begun while the connection was opened.
         if self.slots.is_evacuated() {
             self.put_idle(conn);
@@ -409,9 +411,14 @@
         acquired.unwrap_or_else(|_| Err(RefusalReason::Deadline.into()))
     }
 
-    /// Takes an idle connection or opens a new one.
-    async fn acquire_connection(&self, limits: &CallLimits) -> Result<Connection, RefusalReason> {
-        while let Some(mut conn) = self.pop_idle() {
+    /// Takes an idle connection on which no call with this identity of its caller was refused, or opens
+    /// a new one.
+    async fn acquire_connection(
+        &self,
+        limits: &CallLimits,
+        caller_identity: Option<&HeaderValue>,
+    ) -> Result<Connection, RefusalReason> {
+        while let Some(mut conn) = self.pop_idle(caller_identity) {
             let ready = timeout(READY_TIMEOUT, conn.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 return Ok(conn);
@@ -435,13 +442,15 @@
         }
     }
 
-    fn pop_idle(&self) -> Option<Connection> {
+    fn pop_idle(&self, caller_identity: Option<&HeaderValue>) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         idle.retain(|conn| {
             !conn.sender.is_closed() && now.duration_since(conn.idle_since) < IDLE_TIMEOUT
         });
-        idle.pop()
+        let is_usable = |conn: &Connection| caller_identity.is_none_or(|id| !conn.has_refused(id));
+        let last_usable = idle.iter().rposition(is_usable)?;
+        Some(idle.remove(last_usable))
     }
 
     /// Adds a connection whose response is complete to the idle connections.
@@ -460,6 +469,7 @@
         slot: Slot,
     ) -> Result<Response<Body>, CallFailure> {
         let left = limits.deadline.saturating_duration_since(Instant::now());
+        let caller_identity = self.dialect.caller_identity(req.headers());
         let expected = self.dialect.write_request_headers(
             req.headers_mut(),
             &self.announcement,
@@ -492,10 +502,17 @@
                         let body = ResponseBody::new(body, conn, self.clone()).boxed();
                         Ok(Response::from_parts(head, body))
                     }
-                    ResponseKind::DidNotRun => {
-                        // Dropping the unread body closes the connection unless the body is already
-                        // complete.
-                        drop(ResponseBody::new(body, conn, self.clone()));
+                    ResponseKind::DidNotRun | ResponseKind::DidNotRunUnidentified => {
+                        let is_identified = kind == ResponseKind::DidNotRun;
+                        // A copy of a refusal that does not say which call it belongs to would be
+                        // believed for the next one.
+                        if conn.record_refusal(caller_identity) && is_identified {
+                            // Dropping the unread body closes the connection unless the body is
+                            // already complete.
+                            drop(ResponseBody::new(body, conn, self.clone()));
+                        } else {
+                            drop(conn);
+                        }
                         let proof = NotExecuted::refused_by_peer();
                         let reason = RefusalReason::RefusedByServer;
                         Err(CallFailure::did_not_run(reason, proof))
