fix(policy): compare a server's expected times with the calls that had one

Cause: the distrust of a server's figures divided the mean latency of all its calls by the mean expected time of the calls that had one. The first call on a new connection has none and takes long on a busy machine, and counted in full. The server was distrusted after its second call, got no more calls to show otherwise, and its distrust halves in ten seconds only. The other server got all calls, so its report was never old enough to be asked for: no ask failed.

Change: latencies are averaged from the first call with an expected time on, and a single call says nothing.

--- a/trefoillock-policy/src/server_load.rs
+++ b/trefoillock-policy/src/server_load.rs
@@ -47,6 +47,9 @@
 /// The ratio of measured to expected latency from which a server's expected time is multiplied by
 /// it. Means of about ten calls whose times vary by more than their mean stay below it.
 const MIN_DISTRUST_RATIO: f64 = 2.0;
+/// The number of answered calls from which a server's expected time may be distrusted. A single call
+/// may be slow for a reason of its own, and a distrusted server gets few calls that show otherwise.
+const MIN_DISTRUST_CALLS: u32 = 2;
 /// The half-life of the distrust in a server's expected time while no calls are answered.
 const DISTRUST_HALF_LIFE: Duration = Duration::from_secs(10);
 /// The weight of the expected wait for a slot in the comparison of servers. A call that occupies the
@@ -78,6 +81,38 @@
     until: Timestamp,
 }
 
+/// The mean of the first calls, and a moving average from then on.
+#[derive(Debug, Default)]
+struct CallAverage {
+    calls: u32,
+    mean_us: f64,
+}
+
+impl CallAverage {
+    fn record(&mut self, micros: f64) {
+        self.calls = self.calls.saturating_add(1);
+        let weight = (1.0 / f64::from(self.calls)).max(AVERAGE_WEIGHT);
+        self.mean_us += weight * (micros - self.mean_us);
+    }
+}
+
+/// The expected times of the calls sent to a server, and how long its calls took from the first of them
+/// on. Calls before it, which include the first one on a new connection, have nothing to be compared
+/// with.
+#[derive(Debug, Default)]
+struct PromisedTime {
+    expected: CallAverage,
+    latency: CallAverage,
+}
+
+impl PromisedTime {
+    /// The ratio of measured to expected latency; `None` before enough calls were answered.
+    fn latency_ratio(&self) -> Option<f64> {
+        (self.latency.calls >= MIN_DISTRUST_CALLS)
+            .then(|| self.latency.mean_us / self.expected.mean_us.max(1.0))
+    }
+}
+
 /// The state that an entry node keeps for one backend server.
 #[derive(Debug)]
 pub(crate) struct ServerLoad {
@@ -97,8 +132,8 @@
     latency_us: Option<f64>,
     /// What the server is expected to do, from its reports; `None` if they don't carry a time.
     forecast: Option<ServerForecast>,
-    /// The moving average of the expected times of the calls sent, in microseconds.
-    promised_us: Option<f64>,
+    /// How long the calls sent with an expected time took beside it; `None` before the first one.
+    promised: Option<PromisedTime>,
     /// The time at which the server last reported its load or was asked for it.
     asked_at: Timestamp,
     answered_at: Timestamp,
@@ -125,7 +160,7 @@
             refusing: None,
             latency_us: None,
             forecast: None,
-            promised_us: None,
+            promised: None,
             asked_at: Timestamp::EPOCH,
             answered_at: now,
             failure_rate: 0.0,
@@ -273,10 +308,10 @@
 
     /// The factor by which the reported times of the server have been too short.
     fn distrust(&self, now: Timestamp) -> f64 {
-        let (Some(latency), Some(promised)) = (self.latency_us, self.promised_us) else {
+        let ratio = self.promised.as_ref().and_then(PromisedTime::latency_ratio);
+        let Some(ratio) = ratio else {
             return 1.0;
         };
-        let ratio = latency / promised.max(1.0);
         if ratio < MIN_DISTRUST_RATIO {
             return 1.0;
         }
@@ -325,10 +360,10 @@
         if let Some(forecast) = &mut self.forecast {
             let expected = forecast.expected_us(now);
             forecast.record_start();
-            self.promised_us = Some(
-                self.promised_us
-                    .map_or(expected, |old| old + AVERAGE_WEIGHT * (expected - old)),
-            );
+            self.promised
+                .get_or_insert_default()
+                .expected
+                .record(expected);
         }
         if let Some(interval) = self.limit.and_then(CallRate::interval) {
             self.set_full(now, self.full_until.since(now) + interval);
@@ -391,6 +426,9 @@
             Some(old) => old + AVERAGE_WEIGHT * (micros - old),
             None => micros,
         });
+        if let Some(promised) = &mut self.promised {
+            promised.latency.record(micros);
+        }
         if let Health::Probing(successes) = self.health {
             self.record_probe_success(now, successes + 1);
         }
--- a/trefoillock-policy/tests/balancer.rs
+++ b/trefoillock-policy/tests/balancer.rs
@@ -15,7 +15,7 @@
     Announcement, DataCentre, Incarnation, Member, MemberState, NodeId, PoolPolicy, RouteClass,
     ServerId, ServiceName, Timestamp, VersionLabel,
 };
-use trefoillock_policy::{Balancer, CallResult, LoadHint};
+use trefoillock_policy::{Balancer, CallResult, LoadHint, TimeHint};
 
 const START: Timestamp = Timestamp::from_secs(1_000);
 const SLOTS: u32 = 9;
@@ -410,6 +410,39 @@
     assert!((0.2..0.3).contains(&at_last));
 }
 
+/// Guards against a server that is left out for tens of seconds because its first call, on a new
+/// connection, took long.
+#[test]
+fn one_slow_call_does_not_outweigh_the_expected_time() {
+    const EXPECTED: Duration = Duration::from_millis(10);
+    let all = members(2);
+    let mut balancer = balancer(&all, 0);
+    let hint = LoadHint {
+        running: 0,
+        queued: 0,
+        slots: SLOTS,
+        queue_delay_us: 0,
+        limit: None,
+        time: Some(TimeHint {
+            wait_us: 0,
+            service_us: 10_000,
+            usual_us: 10_000,
+        }),
+    };
+    let mut call = |now, id, latency| {
+        balancer.record_start(now, id);
+        balancer.record_end(now, id, CallResult::Answered(latency), Some(hint));
+    };
+    let (slow_at_first, other) = (&all[0].id, &all[1].id);
+    call(START, slow_at_first, 5 * EXPECTED);
+    call(START, other, EXPECTED);
+    for id in [slow_at_first, other] {
+        call(START, id, EXPECTED);
+    }
+    let share = share_of(&balancer, START, slow_at_first);
+    assert!((0.4..0.6).contains(&share), "{share}");
+}
+
 #[test]
 fn calls_stay_in_the_data_centre_until_it_is_overloaded() {
     let local = member(0, "a", MemberState::Up);
