fix(node): take connections under any limits of a configuration

Cause: the limit was passed on as the read buffer of the HTTP library, whose smallest size is 8,192 bytes; its check ended the task of each connection. An idle_timeout_s near 0 has the same symptom by another way: the library ends a connection whose first head takes longer than that.

Change: the buffer has its smallest size at least, the server compares heads with the limit itself and answers 431, and a connection waits for a head for a second at least.

--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -10,7 +10,8 @@
     time::Duration,
 };
 
-use http::{HeaderValue, Request, Response, Version, header};
+use futures::future::{Either, ready};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt;
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
@@ -24,7 +25,7 @@
     time::sleep,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use trefoillock_backend::Body;
+use trefoillock_backend::{Body, empty_body};
 
 use crate::{
     flushed_body::FlushedBody,
@@ -43,7 +44,14 @@
     trefoillock-outcome: did-not-run\r\ntrefoillock-reason: overloaded\r\nretry-after: 1\r\n\
     content-length: 0\r\nconnection: close\r\n\r\n";
 
-/// Limits that protect a server from malicious or faulty clients.
+/// The smallest read buffer that the HTTP/1.1 library takes, in bytes.
+const MIN_READ_BUFFER: u32 = 8 * 1024;
+/// The shortest time for which a connection waits for the head of a request. A head that was sent with
+/// the connection may still be on its way.
+const MIN_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Limits that protect a server from malicious or faulty clients. Any values leave a server that takes
+/// connections and answers requests within the limits.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
     /// The largest number of open connections.
@@ -51,7 +59,7 @@
     /// The largest size of a request's head, in bytes.
     pub header_bytes: u32,
     /// The longest time that a connection may be idle, and that a request's head may take to
-    /// arrive.
+    /// arrive; a second at least.
     pub head_timeout: Duration,
     /// The largest number of concurrent calls on one HTTP/2 connection.
     pub streams: u32,
@@ -96,7 +104,8 @@
         };
         let handler = handler.clone();
         let stop = stop.clone();
-        let limits = limits();
+        let mut limits = limits();
+        limits.head_timeout = limits.head_timeout.max(MIN_HEAD_TIMEOUT);
         tasks.spawn(async move {
             serve_connection(stream, limits, handler, stop).await;
             drop(permit);
@@ -148,7 +157,11 @@
             let is_http_2 = req.version() == Version::HTTP_2;
             version.store(if is_http_2 { HTTP_2 } else { HTTP_1 }, Ordering::Relaxed);
             let request = InFlightRequest::new(in_flight.clone());
-            let answer = handler(req);
+            let answer = if head_bytes(&req) > limits.header_bytes as usize {
+                Either::Left(ready(head_too_large()))
+            } else {
+                Either::Right(handler(req))
+            };
             let stop = stop.clone();
             async move {
                 let mut resp = answer.await.map(|body| {
@@ -194,6 +207,26 @@
     }
 }
 
+/// The smallest number of bytes in which the head of a request can be written in HTTP/1.1.
+fn head_bytes<B>(req: &Request<B>) -> usize {
+    let target = req.uri().path_and_query().map_or(0, |p| p.as_str().len());
+    let request_line = req.method().as_str().len() + target + "  HTTP/1.1\r\n".len();
+    let headers = req.headers().iter();
+    let headers: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + ":\r\n".len())
+        .sum();
+    request_line + headers + "\r\n".len()
+}
+
+/// The response to a request whose head is too large; the rest of the connection is not read.
+fn head_too_large() -> Response<Body> {
+    let mut resp = Response::new(empty_body());
+    *resp.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    let close = HeaderValue::from_static("close");
+    resp.headers_mut().insert(header::CONNECTION, close);
+    resp
+}
+
 /// Waits until a connection has been idle for [`STOP_GRACE_PERIOD`]. A peer that vanished without
 /// closing its connection would otherwise delay the stop.
 async fn wait_until_idle(is_idle: impl Fn() -> bool) {
@@ -212,13 +245,15 @@
     }
 }
 
+/// Serves with `limits`, whose timeouts are at least [`MIN_HEAD_TIMEOUT`]. Heads that fit into a read
+/// buffer are not limited by it.
 fn builder(limits: ServerLimits) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
-        .max_buf_size(limits.header_bytes as usize)
+        .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER) as usize)
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(limits.header_bytes)
