fix(control): count runs of a backend server as its starts, not those of its node

Cause: flap damping took each announcement of a server that the last record of its node did not hold for a start. A node that starts again reports no server first, then the same run. So does a server whose lease has ended and that announces itself again. From the fourth one on, each within a minute of the last, the leader hid the server, whatever ran.

Evidence: starts_of_a_node_are_no_starts_of_its_server and ends_of_a_lease_are_no_starts_of_a_server failed at the fourth turn. Beside them starts_under_new_identities_are_damped failed: starts under another identity without a start time escaped damping while one record followed the other.

Change: a start is a run, by incarnation and identity, that has not been counted. Late announcements of earlier runs are not counted.

--- a/trefoillock-control/src/flap_damper.rs
+++ b/trefoillock-control/src/flap_damper.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use trefoillock_core::{Announcement, Incarnation, Map, Member, MemberState, ServerId, Timestamp};
+use trefoillock_core::{
+    Announcement, Incarnation, InstanceId, Map, Member, MemberState, ServerId, Timestamp,
+};
 
 use crate::NodeRecord;
 
@@ -15,12 +17,31 @@
 /// The longest suppression time of a backend server.
 const MAX_SUPPRESSION: Duration = Duration::from_mins(1);
 
+/// A run of the process of a backend server.
+#[derive(Debug, PartialEq, Eq)]
+struct Run {
+    incarnation: Incarnation,
+    instance: Option<InstanceId>,
+}
+
+impl From<&Announcement> for Run {
+    fn from(announcement: &Announcement) -> Self {
+        Self {
+            incarnation: announcement.incarnation,
+            instance: announcement.instance.clone(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct StartHistory {
     count: u32,
     last_seen: Timestamp,
     suppressed_until: Timestamp,
+    /// The latest incarnation that was announced.
     incarnation: Incarnation,
+    /// The last run that counted as a start.
+    last_start: Option<Run>,
 }
 
 /// Suppresses backend servers that start too often, and announcements of older incarnations.
@@ -30,20 +51,10 @@
 }
 
 impl FlapDamper {
-    /// Records the announcements of a node, given its previously known ones.
-    pub(crate) fn record_announcements(
-        &mut self,
-        now: Timestamp,
-        record: &NodeRecord,
-        previous: &[Announcement],
-    ) {
+    /// Records the announcements of a node. A run that is announced again, because its node started
+    /// again or its lease had ended, is not another start.
+    pub(crate) fn record_announcements(&mut self, now: Timestamp, record: &NodeRecord) {
         for announcement in &record.announcements {
-            let is_up = announcement.state == MemberState::Up;
-            let was_up = previous.iter().any(|known| {
-                known.address == announcement.address
-                    && known.incarnation == announcement.incarnation
-                    && known.state == MemberState::Up
-            });
             let id = ServerId {
                 node: record.node.clone(),
                 address: announcement.address,
@@ -53,10 +64,17 @@
                 last_seen: now,
                 suppressed_until: Timestamp::EPOCH,
                 incarnation: announcement.incarnation,
+                last_start: None,
             });
             history.incarnation = history.incarnation.max(announcement.incarnation);
-            if is_up && !was_up {
+            let run = Run::from(announcement);
+            let is_current = run.incarnation == history.incarnation;
+            if announcement.state == MemberState::Up
+                && is_current
+                && history.last_start.as_ref() != Some(&run)
+            {
                 history.record_start(now);
+                history.last_start = Some(run);
             } else {
                 history.last_seen = history.last_seen.max(now);
             }
--- a/trefoillock-control/src/node_table.rs
+++ b/trefoillock-control/src/node_table.rs
@@ -50,9 +50,7 @@
         if known.is_some_and(|known| known.record.order() > record.order()) {
             return;
         }
-        let before = known.map(|known| known.record.announcements.as_slice());
-        self.damper
-            .record_announcements(now, &record, before.unwrap_or_default());
+        self.damper.record_announcements(now, &record);
         for member in members_of(&record).filter(|member| !member.is_up()) {
             self.drained.insert(&member);
         }
--- a/trefoillock-control/tests/membership.rs
+++ b/trefoillock-control/tests/membership.rs
@@ -9,7 +9,9 @@
     AttachLimiter, LostNode, NodeRecord, NodeTable,
     timing::{ORPHAN_LEASE, REATTACH_LEASE},
 };
-use trefoillock_core::{Departure, DrainedRuns, Incarnation, MemberState, NodeId, Timestamp};
+use trefoillock_core::{
+    Departure, DrainedRuns, Incarnation, InstanceId, MemberState, NodeId, Timestamp,
+};
 
 const START: Timestamp = Timestamp::from_secs(1_000);
 
@@ -102,6 +104,57 @@
     assert_eq!(table.servers(later).len(), 1);
 }
 
+/// Guards against backend servers that are hidden, although they ran all the while, because their nodes
+/// started again several times.
+#[test]
+fn starts_of_a_node_are_no_starts_of_its_server() {
+    let mut table = NodeTable::default();
+    for start in 1..=8 {
+        let now = START + Duration::from_secs(6 * start);
+        let mut started = record(1, start, 1);
+        started.announcements.clear();
+        table.insert_record(now, started);
+        let mut announced = record(1, start, 1);
+        announced.revision = 2;
+        announced.announcements[0].incarnation = Incarnation::new(1);
+        table.insert_record(now, announced);
+        assert_eq!(table.servers(now).len(), 1, "start {start} of the node");
+    }
+}
+
+/// Guards against backend servers that are hidden because their lease ended several times, for example
+/// while a link lost packets.
+#[test]
+fn ends_of_a_lease_are_no_starts_of_a_server() {
+    let mut table = NodeTable::default();
+    let mut current = record(1, 1, 1);
+    let announcements = current.announcements.clone();
+    for turn in 1..=8 {
+        let now = START + Duration::from_secs(6 * turn);
+        current.announcements = announcements.clone();
+        current.revision += 1;
+        table.insert_record(now, current.clone());
+        assert_eq!(table.servers(now).len(), 1, "turn {turn}");
+        current.announcements.clear();
+        current.revision += 1;
+        table.insert_record(now, current.clone());
+    }
+}
+
+/// Guards against damping that a server escapes by another identity with each of its starts.
+#[test]
+fn starts_under_new_identities_are_damped() {
+    let mut table = NodeTable::default();
+    for start in 1..=4 {
+        let mut started = record(1, 1, 1);
+        started.revision = start;
+        let instance = InstanceId::try_from(format!("i-{start}")).expect("a valid name");
+        started.announcements[0].instance = Some(instance);
+        table.insert_record(START, started);
+    }
+    assert!(table.servers(START).is_empty());
+}
+
 #[test]
 fn many_nodes_are_admitted_at_their_reserved_times() {
     let mut limiter = AttachLimiter::new(100);
