fix(node): remove all headers between nodes from messages of others

Change: the three are in the list. every_header_between_nodes_is_removed takes the names from the definitions; it failed before at trefoillock-token-ms and, with that one and the clock in the list, at trefoillock-warm-up-ms.

--- a/trefoillock-node/src/headers.rs
+++ b/trefoillock-node/src/headers.rs
@@ -58,7 +58,7 @@
 
 /// Headers that are removed from messages of callers and backend servers, because only nodes may
 /// set them.
-const INTERNAL: [&str; 26] = [
+const INTERNAL: [&str; 29] = [
     headers::OUTCOME,
     headers::REASON,
     headers::DEADLINE_MS,
@@ -70,6 +70,7 @@
     headers::LEAVING,
     headers::WORKSPACE,
     headers::SERVER_LOAD,
+    headers::WARM_UP_MS,
     SERVER,
     SERVICE,
     VERSION,
@@ -78,6 +79,8 @@
     QUEUE_MS,
     RANK,
     OBJECTIVE_MS,
+    TOKEN_MS,
+    CLOCK_MS,
     RETRY_AFTER_MS,
     CRASHED,
     LOAD,
