fix(node): begin no call of another node that the stop of this one may cut

Cause: a node that stops bounds the requests of its own callers by the time of its cut, and refuses nobody else's: it began calls of other nodes whose deadline lay behind its cut, and cut them. If the entry was stopping too, the caller lost a posting around a planned stop.

Change: the destination refuses such a call as draining, provably not run, and the entry sends it to another server.

--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -142,6 +142,12 @@
         self.cut_at.get()?.checked_sub(LATE_BODY_TIME)
     }
 
+    /// Whether a call of another node with this deadline may be cut by the stop of this node. Unlike a
+    /// caller, the other node can still send it to another backend server.
+    pub(crate) fn may_cut(&self, deadline: Instant) -> bool {
+        self.cut_at.get().is_some_and(|cut_at| deadline > *cut_at)
+    }
+
     /// The log of single calls.
     #[must_use]
     pub const fn call_log(&self) -> &CallLog {
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -62,6 +62,22 @@
     })
 }
 
+/// Refuses a call of another node that may not be complete when this node, which stops, cuts it.
+pub(crate) fn admit_before_cut(
+    cx: &NodeContext,
+    headers: &HeaderMap,
+    delivery: &Delivery,
+) -> Result<(), CallFailure> {
+    if !cx.may_cut(delivery.deadline) {
+        return Ok(());
+    }
+    let proof = NotExecuted::nothing_written();
+    let failure = CallFailure::did_not_run(RefusalReason::Draining, proof);
+    let id = cx.call_log().id(headers);
+    log_failure(cx, id, delivery, &failure, None, Instant::now());
+    Err(failure)
+}
+
 /// Admits a call of another node to the link of this VM. `None` if its rate is not known.
 pub(crate) fn admit_to_link(
     cx: &NodeContext,
--- a/trefoillock-node/src/serve_peer.rs
+++ b/trefoillock-node/src/serve_peer.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     Delivery, NodeContext, ServerLimits, ServerReport, boot_time,
-    destination::{admit_to_link, deliver},
+    destination::{admit_before_cut, admit_to_link, deliver},
     failure_response,
     headers::{ASK, CLOCK_MS, SERVER, header_text},
     paced_body::PacedBody,
@@ -123,7 +123,8 @@
         let failure = CallFailure::did_not_run(RefusalReason::BadRequest, proof);
         return failure_response(&failure);
     };
-    let permit = match admit_to_link(&cx, req.headers(), &delivery) {
+    let admitted = admit_before_cut(&cx, req.headers(), &delivery);
+    let permit = match admitted.and_then(|()| admit_to_link(&cx, req.headers(), &delivery)) {
         Ok(permit) => permit,
         Err(failure) => return failure_response(&failure),
     };
