--- a/trefoillock-control/src/flap_damper.rs
+++ b/trefoillock-control/src/flap_damper.rs
@@ -68,11 +68,9 @@
             });
             history.incarnation = history.incarnation.max(announcement.incarnation);
             let run = Run::from(announcement);
-            let is_current = run.incarnation == history.incarnation;
-            if announcement.state == MemberState::Up
-                && is_current
-                && history.last_start.as_ref() != Some(&run)
-            {
+            let is_latest = run.incarnation == history.incarnation;
+            let is_counted = history.last_start.as_ref() == Some(&run);
+            if announcement.state == MemberState::Up && is_latest && !is_counted {
                 history.record_start(now);
                 history.last_start = Some(run);
             } else {
--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -50,8 +50,9 @@
 /// the connection may still be on its way.
 const MIN_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Limits that protect a server from malicious or faulty clients. Any values leave a server that takes
-/// connections and answers requests within the limits.
+/// Limits that protect a server from malicious or faulty clients.
+///
+/// With any values the server takes connections and answers requests within the limits.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
     /// The largest number of open connections.
@@ -245,8 +246,8 @@
     }
 }
 
-/// Serves with `limits`, whose timeouts are at least [`MIN_HEAD_TIMEOUT`]. Heads that fit into a read
-/// buffer are not limited by it.
+/// Creates the settings of a connection. A head that fits into the read buffer may still be larger than
+/// `header_bytes`, so each request is checked as well.
 fn builder(limits: ServerLimits) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
--- a/trefoillock-policy/src/server_load.rs
+++ b/trefoillock-policy/src/server_load.rs
@@ -97,8 +97,7 @@
 }
 
 /// The expected times of the calls sent to a server, and how long its calls took from the first of them
-/// on. Calls before it, which include the first one on a new connection, have nothing to be compared
-/// with.
+/// on. Earlier calls, which include the first one on a new connection, had no expected time.
 #[derive(Debug, Default)]
 struct PromisedTime {
     expected: CallAverage,
@@ -132,7 +131,7 @@
     latency_us: Option<f64>,
     /// What the server is expected to do, from its reports; `None` if they don't carry a time.
     forecast: Option<ServerForecast>,
-    /// How long the calls sent with an expected time took beside it; `None` before the first one.
+    /// The expected times of calls and how long they took; `None` before the first expected time.
     promised: Option<PromisedTime>,
     /// The time at which the server last reported its load or was asked for it.
     asked_at: Timestamp,
