feat(node): count and log calls whose caller disconnected

An entry node neither counted nor logged a call that was cancelled before the head of its response, and a destination had no line for a cancelled call, so that a lost cancellation could not be told from a close that was not seen.

E1806 call-abandoned at both nodes, at most 10 lines a second, and the metric abandoned_calls.

--- a/trefoillock-caller/src/call_handler.rs
+++ b/trefoillock-caller/src/call_handler.rs
@@ -24,6 +24,7 @@
     classify_error::ClassifyError,
     dispatch::{Dispatch, is_resumable_class},
     keyed_posting::{self, KeyedResult},
+    pending_call::PendingCall,
     pool_state::PoolState,
     presented_key::PresentedKey,
     replayable_request::ReplayableRequest,
@@ -243,7 +244,10 @@
     /// lost.
     async fn send(&self, call: Arc<Call>, mut req: ReplayableRequest) -> Response<Body> {
         let mut dispatch = self.dispatch(&call);
-        match dispatch.run(&mut req).await {
+        let pending = PendingCall::new(self.cx.clone(), call.clone());
+        let result = dispatch.run(&mut req).await;
+        pending.end();
+        match result {
             Ok(resp) => {
                 let resp =
                     if self.cx.call_settings().resumes && is_resumable_class(call.route.class) {
@@ -268,7 +272,9 @@
             return self.send(call, req).await;
         }
         let mut dispatch = self.dispatch(&call);
+        let pending = PendingCall::new(self.cx.clone(), call);
         let result = keyed_posting::run(&mut dispatch, &mut req).await;
+        pending.end();
         let call = &dispatch.call;
         match result {
             KeyedResult::Answered(resp) => forward_response(&self.cx, call, resp),
--- a/trefoillock-caller/src/lib.rs
+++ b/trefoillock-caller/src/lib.rs
@@ -14,6 +14,7 @@
 mod combine_failures;
 mod dispatch;
 mod keyed_posting;
+mod pending_call;
 mod pool_state;
 mod presented_key;
 mod recorded_body;
--- a/trefoillock-caller/src/recorded_body.rs
+++ b/trefoillock-caller/src/recorded_body.rs
@@ -11,7 +11,7 @@
 use trefoillock_backend::{Body, BodyError};
 use trefoillock_node::{CallEnd, NodeContext};
 
-use crate::call::Call;
+use crate::{call::Call, pending_call::record_abandoned};
 
 /// A body that records its call once it is complete, was cut off, or is dropped because the caller
 /// disconnected.
@@ -88,8 +88,9 @@
     fn drop(&mut self) {
         if self.inner.is_end_stream() {
             self.record_end();
-        } else {
-            self.record(CallEnd::CallerDisconnected);
+        } else if !self.recorded {
+            self.recorded = true;
+            record_abandoned(&self.cx, &self.call, "body");
         }
     }
 }
--- a/trefoillock-node/src/call_log.rs
+++ b/trefoillock-node/src/call_log.rs
@@ -22,6 +22,8 @@
 const UNKNOWN_KEY_LINES_PER_S: u32 = 10;
 /// The largest number of lines about successful calls per second; these are only samples.
 const ANSWER_LINES_PER_S: u32 = 5;
+/// The largest number of lines about abandoned calls per second; the metrics count all of them.
+const ABANDONED_LINES_PER_S: u32 = 10;
 /// The longest request identifier that is logged, in bytes.
 const MAX_REQUEST_ID_BYTES: usize = 64;
 
@@ -46,6 +48,8 @@
     Retried,
     /// The call was refused because it carried no known key.
     UnknownKey,
+    /// The caller disconnected before the response was complete.
+    Abandoned,
 }
 
 impl CallLine {
@@ -57,6 +61,7 @@
             Self::Broken => Event::CallBroken,
             Self::Retried => Event::CallRetried,
             Self::UnknownKey => Event::ApiKeyRefused,
+            Self::Abandoned => Event::CallAbandoned,
         }
     }
 
@@ -69,6 +74,7 @@
             Self::Retried => 3,
             Self::Answered { is_error: false } => 4,
             Self::UnknownKey => 5,
+            Self::Abandoned => 6,
         }
     }
 }
@@ -78,7 +84,7 @@
 pub struct CallLog {
     format: LogFormat,
     id_header: Option<HeaderName>,
-    limiters: [Mutex<LogRateLimiter>; 6],
+    limiters: [Mutex<LogRateLimiter>; 7],
 }
 
 impl Default for CallLog {
@@ -101,6 +107,7 @@
                 Mutex::new(LogRateLimiter::new(RETRY_LINES_PER_S)),
                 Mutex::new(LogRateLimiter::new(ANSWER_LINES_PER_S)),
                 Mutex::new(LogRateLimiter::new(UNKNOWN_KEY_LINES_PER_S)),
+                Mutex::new(LogRateLimiter::new(ABANDONED_LINES_PER_S)),
             ],
         }
     }
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -151,7 +151,16 @@
         incarnation: server.announcement().incarnation,
     };
     let (arrived, deadline) = (Instant::now(), limits.deadline);
-    match server.call(req, limits).await {
+    let cancelled = LogIfCancelled {
+        cx: &cx,
+        id: &id,
+        delivery: &delivery,
+        arrived,
+        ended: false,
+    };
+    let result = server.call(req, limits).await;
+    cancelled.end();
+    match result {
         Ok(mut resp) => {
             strip_hop_by_hop(resp.headers_mut());
             strip_internal(resp.headers_mut());
@@ -185,6 +194,41 @@
     }
 }
 
+/// Logs a call that is dropped before the backend server has answered, because its caller disconnected.
+struct LogIfCancelled<'a> {
+    cx: &'a NodeContext,
+    id: &'a str,
+    delivery: &'a Delivery,
+    arrived: Instant,
+    ended: bool,
+}
+
+impl LogIfCancelled<'_> {
+    fn end(mut self) {
+        self.ended = true;
+    }
+}
+
+impl Drop for LogIfCancelled<'_> {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let (cx, delivery) = (self.cx, self.delivery);
+        cx.call_log()
+            .write(cx.clock().now(), CallLine::Abandoned, || {
+                let mut fields = vec![
+                    ("request", self.id.to_owned()),
+                    ("server", format!("{}@{}", cx.node(), delivery.address)),
+                    ("millis", self.arrived.elapsed().as_millis().to_string()),
+                    ("part", "destination".to_owned()),
+                ];
+                fields.extend(workspace_field(delivery));
+                fields
+            });
+    }
+}
+
 /// The check of the call's token, if the call came with one.
 fn start_permit(cx: &NodeContext, delivery: &Delivery) -> Option<Arc<dyn StartPermit>> {
     let stated = delivery.token_expires?;
--- a/trefoillock-node/src/recorder.rs
+++ b/trefoillock-node/src/recorder.rs
@@ -100,6 +100,7 @@
     crashes: Mutex<Vec<CrashReport>>,
     local_cuts: ArcSwap<Set<MoveId>>,
     unknown_keys: AtomicU64,
+    abandoned_calls: AtomicU64,
 }
 
 impl EvidenceRecorder {
@@ -109,9 +110,10 @@
         Self::default()
     }
 
-    /// Counts a call, unless its caller disconnected.
+    /// Counts a call. One whose caller disconnected is not evidence.
     pub fn record(&self, record: &CallRecord<'_>) {
         if record.end == CallEnd::CallerDisconnected {
+            self.abandoned_calls.fetch_add(1, Ordering::Relaxed);
             return;
         }
         let is_good = match record.end {
@@ -193,6 +195,12 @@
         self.unknown_keys.load(Ordering::Relaxed)
     }
 
+    /// The number of calls whose caller disconnected before the end.
+    #[must_use]
+    pub fn abandoned_calls(&self) -> u64 {
+        self.abandoned_calls.load(Ordering::Relaxed)
+    }
+
     /// Adds a report of a crash of a local backend server.
     pub fn record_crash(&self, report: CrashReport) {
         let mut crashes = lock(&self.crashes);
--- a/trefoillock-node/tests/departed_callers.rs
+++ b/trefoillock-node/tests/departed_callers.rs
@@ -209,7 +209,11 @@
     let stop = CancellationToken::new();
     let serving = serve_http(listener, ServerLimits::default, handler, stop.clone());
     let serving = tokio::spawn(serving);
-    let body: String = (0..60_000).map(|number| format!("{number:06}")).collect();
+    let body: String = (0..60_000_u32)
+        .filter_map(|number| char::from_digit(number * 7 / 3 % 10, 10))
+        .cycle()
+        .take(360_000)
+        .collect();
     let length = body.len();
     let bytes = format!(
         "{REQUEST}POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\
--- a/trefoillock-roles/src/metrics.rs
+++ b/trefoillock-roles/src/metrics.rs
@@ -64,6 +64,7 @@
     pub(crate) calls: Family<CallLabels, IntGauge>,
     pub(crate) workspace_calls: Family<WorkspaceLabels, IntGauge>,
     pub(crate) unknown_key_calls: IntGauge,
+    pub(crate) abandoned_calls: IntGauge,
     pub(crate) moves: Family<MoveLabels, IntGauge>,
     pub(crate) edits_accepted: Counter,
     pub(crate) edits_refused: Counter,
@@ -112,6 +113,7 @@
             "unknown_key_calls",
             "Calls that entered here and were refused because they carried no known key",
         );
+        let abandoned_calls = gauge("abandoned_calls", "Calls whose caller disconnected");
         let load_asks_sent = gauge(
             "load_asks_sent",
             "Asks for the load of backend servers sent to other nodes",
@@ -165,6 +167,7 @@
             calls,
             workspace_calls,
             unknown_key_calls,
+            abandoned_calls,
             moves,
             edits_accepted,
             edits_refused,
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -436,6 +436,9 @@
             .metrics
             .unknown_key_calls
             .set(self.node.recorder().unknown_keys());
+        metrics
+            .abandoned_calls
+            .set(self.node.recorder().abandoned_calls());
         let cold_phases = self.node.local_servers().cold_phases();
         metrics.server_cold_phases.set(cold_phases);
         let asks = self.node.ask_counts();
