fix(node): notice callers that leave while bytes behind their request are unread

After a client with pipelined requests had closed its connection, its request went on to its end and another one was begun (GONE).

Cause: the HTTP/1.1 library does not read a connection while the next request or a part of it is buffered, or while the body of the current one is not consumed. The end of the stream lies behind those bytes. A close that came together with a request was read after the request had been begun.

Change: the server reads its sockets ahead (64 KiB), looks for the close before the library takes a request, and drops the connection with its calls. With a full buffer it asks every 100 ms whether the peer has closed. Applies to callers' and nodes' listeners; HTTP/2 connections are always read.

--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -2,11 +2,12 @@
 
 use std::{
     convert::Infallible,
-    future::Future,
+    future::{Future, poll_fn},
     sync::{
         Arc,
         atomic::{AtomicU8, AtomicUsize, Ordering},
     },
+    task::Poll,
     time::Duration,
 };
 
@@ -22,6 +23,7 @@
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     sync::Semaphore,
+    task::yield_now,
     time::sleep,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -32,6 +34,7 @@
     in_flight::InFlightRequest,
     lingering_stream::{LingeringStream, StreamActivity},
     listener_close::{HANDSHAKE_TIME, close_listener, hold_off_connections},
+    read_ahead::ReadAheadStream,
 };
 
 /// The time for which an idle HTTP/1.1 connection is kept after a stop, so that a request that was
@@ -148,6 +151,8 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    // The runtime learns only in its next turn that the peer of a new socket has already closed it.
+    yield_now().await;
     let version = Arc::new(AtomicU8::new(NO_REQUEST));
     let in_flight = Arc::new(AtomicUsize::new(0));
     let service = {
@@ -179,16 +184,23 @@
     };
     let builder = builder(limits);
     let activity = Arc::new(StreamActivity::default());
-    let stream = LingeringStream::new(stream, activity.clone());
+    let socket = ReadAheadStream::new(stream);
+    let departed = || departure(&socket, &version);
+    let stream = LingeringStream::new(socket.clone(), activity.clone());
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
+    // The close is looked for first, so that no request of a caller that has left is begun.
     tokio::select! {
+        biased;
+        () = departed() => return,
         _ = conn.as_mut() => return,
         () = first_request_timeout(&version, limits.head_timeout) => return,
         () = stop.cancelled() => {}
     }
     if version.load(Ordering::Relaxed) != HTTP_2 {
         tokio::select! {
+            biased;
+            () = departed() => return,
             _ = conn.as_mut() => return,
             () = sleep(STOP_GRACE_PERIOD) => {}
         }
@@ -203,11 +215,22 @@
         in_flight.load(Ordering::Acquire) == 0 && !activity.is_sending() && !answers
     };
     tokio::select! {
+        biased;
+        () = departed() => {}
         _ = conn => {}
         () = wait_until_idle(is_idle) => {}
     }
 }
 
+/// Completes once the peer has left. An HTTP/2 connection is always read and notices that by itself.
+async fn departure(socket: &ReadAheadStream, version: &AtomicU8) {
+    poll_fn(|cx| match version.load(Ordering::Relaxed) {
+        HTTP_2 => Poll::Pending,
+        _ => socket.poll_departure(cx),
+    })
+    .await;
+}
+
 /// The smallest number of bytes in which the head of a request can be written in HTTP/1.1.
 fn head_bytes<B>(req: &Request<B>) -> usize {
     let target = req.uri().path_and_query().map_or(0, |p| p.as_str().len());
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -31,6 +31,7 @@
 mod peer_clients;
 mod quotas;
 mod random;
+mod read_ahead;
 mod recorder;
 mod refusal;
 mod route_index;
--- a/trefoillock-node/src/lingering_stream.rs
+++ b/trefoillock-node/src/lingering_stream.rs
@@ -13,10 +13,11 @@
 
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     time::{Sleep, sleep},
 };
 
+use crate::read_ahead::ReadAheadStream;
+
 /// The longest time to wait after a shutdown until the peer closes its side.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// The size of the buffer for discarded bytes.
@@ -47,14 +48,14 @@
 /// Closing a socket with unread bytes resets the connection, and the peer then loses what it has
 /// not read yet, such as the end of a response.
 pub(crate) struct LingeringStream {
-    stream: TcpStream,
+    stream: ReadAheadStream,
     linger: Option<Pin<Box<Sleep>>>,
     activity: Arc<StreamActivity>,
 }
 
 impl LingeringStream {
     /// Wraps a stream, and records what it does in `activity`.
-    pub(crate) const fn new(stream: TcpStream, activity: Arc<StreamActivity>) -> Self {
+    pub(crate) const fn new(stream: ReadAheadStream, activity: Arc<StreamActivity>) -> Self {
         Self {
             stream,
             linger: None,
