fix(node): keep connections between nodes when many callers leave at once

Callers: calls failed with a lost connection, because clients of other calls had left while a node was suspended or had no processor time.

Cause: the HTTP/2 library closes a connection when over 20 streams were reset before the server took them. A node that runs again reads the calls and resets of its pause in one go, and one connection carries the calls of all callers of another node.

Change: the limit is a field of ServerLimits; between nodes it is the number of streams. Listeners for callers keep the library's 20.

--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -67,6 +67,9 @@
     pub head_timeout: Duration,
     /// The largest number of concurrent calls on one HTTP/2 connection.
     pub streams: u32,
+    /// The largest number of calls on one HTTP/2 connection that are cancelled before the server has taken them.
+    /// A connection that exceeds it is closed, with all calls.
+    pub untaken_cancellations: usize,
 }
 
 impl Default for ServerLimits {
@@ -76,6 +79,7 @@
             header_bytes: 32 * 1024,
             head_timeout: Duration::from_secs(15),
             streams: 256,
+            untaken_cancellations: 20,
         }
     }
 }
@@ -282,6 +286,7 @@
         .timer(TokioTimer::new())
         .max_header_list_size(limits.header_bytes)
         .max_concurrent_streams(limits.streams)
+        .max_pending_accept_reset_streams(limits.untaken_cancellations)
         .keep_alive_interval(limits.head_timeout)
         .keep_alive_timeout(limits.head_timeout);
     builder
--- a/trefoillock-node/src/serve_peer.rs
+++ b/trefoillock-node/src/serve_peer.rs
@@ -33,6 +33,8 @@
 pub async fn serve_peer(listener: TcpListener, cx: Arc<NodeContext>, stop: CancellationToken) {
     let limits = ServerLimits {
         streams: MAX_STREAMS_PER_CONNECTION,
+        // One connection carries the calls of many callers, who may leave while this process is suspended.
+        untaken_cancellations: MAX_STREAMS_PER_CONNECTION as usize,
         ..ServerLimits::default()
     };
     let tasks = cx.tasks().clone();
