fix(node): do not begin calls whose stream was already reset

Callers: none see it. A node that was suspended began the calls whose callers had left meanwhile, and cancelled them a moment later: a connection to the backend server, the count of a rollout and a token of a quota were used for them.

Cause: the HTTP/2 library polls the handler of a request before it looks for a reset of its stream.

Change: the handler is called at the second poll.

--- a/trefoillock-node/src/http_server.rs
+++ b/trefoillock-node/src/http_server.rs
@@ -167,13 +167,16 @@
             let is_http_2 = req.version() == Version::HTTP_2;
             version.store(if is_http_2 { HTTP_2 } else { HTTP_1 }, Ordering::Relaxed);
             let request = InFlightRequest::new(in_flight.clone());
-            let answer = if head_bytes(&req) > limits.header_bytes as usize {
-                Either::Left(ready(head_too_large()))
-            } else {
-                Either::Right(handler(req))
-            };
-            let stop = stop.clone();
+            let (handler, stop) = (handler.clone(), stop.clone());
             async move {
+                if is_http_2 {
+                    poll_again().await;
+                }
+                let answer = if head_bytes(&req) > limits.header_bytes as usize {
+                    Either::Left(ready(head_too_large()))
+                } else {
+                    Either::Right(handler(req))
+                };
                 let mut resp = answer.await.map(|body| {
                     let body = FlushedBody::new(body).boxed_unsync();
                     request.until_body_ends(body)
@@ -226,6 +229,21 @@
     }
 }
 
+/// Completes when it is polled for the second time. In between, the HTTP/2 library drops a request whose
+/// stream the peer has already reset.
+async fn poll_again() {
+    let mut is_polled = false;
+    poll_fn(|cx| {
+        if is_polled {
+            return Poll::Ready(());
+        }
+        is_polled = true;
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 /// Completes once the peer has left. An HTTP/2 connection is always read and notices that by itself.
 async fn departure(socket: &ReadAheadStream, version: &AtomicU8) {
     poll_fn(|cx| match version.load(Ordering::Relaxed) {
--- a/trefoillock-node/tests/cancelled_streams.rs
+++ b/trefoillock-node/tests/cancelled_streams.rs
@@ -110,7 +110,7 @@
 #[tokio::test]
 async fn callers_that_leave_a_suspended_process_do_not_end_the_calls_of_others() {
     let stop = CancellationToken::new();
-    let (address, _) = start(stop.clone()).await;
+    let (address, work) = start(stop.clone()).await;
     let client = std::thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -132,5 +132,10 @@
     sleep(WORK).await;
     let answer = client.join().expect("a client");
     assert_eq!(answer.expect("an answer"), 200);
+    assert_eq!(
+        work.begun.load(Ordering::Acquire),
+        1,
+        "calls of callers that had left were begun"
+    );
     stop.cancel();
 }
