fix(node): do not begin calls that the own stop cuts

Callers: a posting whose head came before the SIGTERM of a node and whose body was complete late in the grace time was passed on with its full deadline, and its connection ended without an answer while the backend server was at work.

Cause: the deadline was limited to the end of the stop when the head arrived, once. What waits after that (a body, a token, a retry, a slot of the backend server beside a stopping node) was begun at any time of the grace.

Change: once a stopping node accepts no more connections it refuses, as draining and not run, every call whose stated deadline lies behind the cut: when it arrives, before each attempt, and at the destination after the wait for a slot. Until then the deadline is limited again when the body is complete.

--- a/trefoillock-caller/src/call.rs
+++ b/trefoillock-caller/src/call.rs
@@ -27,6 +27,9 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
+    /// The deadline that the caller and the route state. [`Self::deadline`] is earlier if a stop of this node
+    /// cuts the call before.
+    pub(crate) stated_deadline: Instant,
     /// The time after which the caller no longer waits, in this attempt or a later one.
     pub(crate) caller_deadline: Instant,
     /// The identifier of the request in log lines.
--- a/trefoillock-caller/src/call_handler.rs
+++ b/trefoillock-caller/src/call_handler.rs
@@ -99,6 +99,8 @@
             Err(_) => return fail_call(&self.cx, &call, &refusal(RefusalReason::Deadline)),
         };
         let (parts, ()) = replay.head().clone().into_parts();
+        // The stop may have begun while the body was read.
+        call.deadline = self.before_cut(call.stated_deadline);
         call.fingerprint = fingerprint(&call.route, &parts, replay.body_prefix());
         let call = Arc::new(call);
         if self
@@ -139,8 +141,11 @@
         let workspace = find_workspace(config, route, req.headers())?;
         let placement = self.choose_pool(config, route)?;
         let objective = self.objective(route, req.headers(), arrived);
+        let stated_deadline = deadline(route, req.headers(), arrived);
+        self.cx.check_cut(stated_deadline).map_err(refusal)?;
         Ok(Call {
-            deadline: deadline(route, req.headers(), arrived, self.cx.latest_deadline()),
+            deadline: self.before_cut(stated_deadline),
+            stated_deadline,
             caller_deadline: caller_deadline(route, req.headers(), arrived),
             route: route.clone(),
             workspace: workspace.cloned(),
@@ -156,6 +161,12 @@
         })
     }
 
+    /// The deadline of a call that is sent now: it must be complete before a stop of this node cuts it.
+    fn before_cut(&self, deadline: Instant) -> Instant {
+        let latest = self.cx.latest_deadline();
+        latest.map_or(deadline, |latest| deadline.min(latest))
+    }
+
     /// The time by which the response should be complete: the route's target latency, counted from
     /// the caller's first attempt. `None` if the call settings do not use objectives, or if the time
     /// is not representable.
--- a/trefoillock-caller/src/dispatch.rs
+++ b/trefoillock-caller/src/dispatch.rs
@@ -91,6 +91,9 @@
             if let Err(failure) = self.take_token().await {
                 return Err(combine(self.failure.take(), failure));
             }
+            if let Err(reason) = self.cx.check_cut(self.call.stated_deadline) {
+                return Err(combine(self.failure.take(), refusal(reason)));
+            }
             let Some(tracker) = self.start_attempt() else {
                 if self.sends == 0 && self.move_to_old_versions() {
                     continue;
--- a/trefoillock-caller/src/request.rs
+++ b/trefoillock-caller/src/request.rs
@@ -29,18 +29,11 @@
     text.parse().ok().map(Duration::from_millis)
 }
 
-/// The deadline of a call: the end of the route's timeout or of the caller's, or `latest`, whichever
-/// comes first.
-pub(crate) fn deadline(
-    route: &Route,
-    map: &HeaderMap,
-    arrived: Instant,
-    latest: Option<Instant>,
-) -> Instant {
+/// The deadline of a call: the end of the route's timeout or of the caller's, whichever comes first.
+pub(crate) fn deadline(route: &Route, map: &HeaderMap, arrived: Instant) -> Instant {
     let requested = requested_timeout(map);
     let timeout = requested.map_or(route.timeout(), |requested| requested.min(route.timeout()));
-    let end = arrived + timeout;
-    latest.map_or(end, |latest| end.min(latest))
+    arrived + timeout
 }
 
 /// The time after which the caller no longer waits: the end of its own timeout, or of the route's if
--- a/trefoillock-node/src/context.rs
+++ b/trefoillock-node/src/context.rs
@@ -2,14 +2,16 @@
 
 use std::sync::{
     Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-    atomic::{AtomicU64, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use http::{Request, Response};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 use trefoillock_backend::{Body, CallFailure, LATE_BODY_TIME, LocalServers, WarmUpTable};
-use trefoillock_core::{Config, DataCentre, Incarnation, Member, NodeId, QuotaBound, Timestamp};
+use trefoillock_core::{
+    Config, DataCentre, Incarnation, Member, NodeId, QuotaBound, RefusalReason, Timestamp,
+};
 use trefoillock_policy::{RolloutLedger, VersionCalls};
 use trefoillock_process::{CallSettings, Clock};
 use trefoillock_rpc::Token;
@@ -44,6 +46,7 @@
     evacuation_refusals: AtomicU64,
     /// The time at which the calls in flight are cut; empty while no stop has begun.
     cut_at: OnceLock<Instant>,
+    refuses_calls_to_cut: AtomicBool,
 }
 
 impl NodeContext {
@@ -84,6 +87,7 @@
             link: None,
             evacuation_refusals: AtomicU64::new(0),
             cut_at: OnceLock::new(),
+            refuses_calls_to_cut: AtomicBool::new(false),
         }
     }
 
@@ -133,6 +137,27 @@
         let _ = self.cut_at.set(cut_at);
     }
 
+    /// Refuses calls from now on that the stop may cut. Their callers learn that they did not run, and can
+    /// send them to another node.
+    pub fn refuse_calls_to_cut(&self) {
+        self.refuses_calls_to_cut.store(true, Ordering::Release);
+    }
+
+    /// Checks that a call with this deadline, which its caller or route states, may still be sent to a
+    /// backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RefusalReason::Draining`] if the stop of this node may cut it.
+    pub fn check_cut(&self, deadline: Instant) -> Result<(), RefusalReason> {
+        let is_refused =
+            self.refuses_calls_to_cut.load(Ordering::Acquire) && self.may_cut(deadline);
+        if is_refused {
+            return Err(RefusalReason::Draining);
+        }
+        Ok(())
+    }
+
     /// The latest deadline of a call that is taken now; `None` if nothing will cut it.
     ///
     /// A call of a node that stops must be complete before it is cut. The backend servers and the
--- a/trefoillock-node/src/destination.rs
+++ b/trefoillock-node/src/destination.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     CallLine, Delivery, NodeContext, ServerReport, boot_time, detached_body::detach_body,
-    headers::header_text, link_pacer::LinkPermit, quotas::StartCheck, strip_hop_by_hop,
-    strip_internal, watched_body::WatchedBody,
+    headers::header_text, link_pacer::LinkPermit, quotas::StartCheck,
+    start_conditions::StartConditions, strip_hop_by_hop, strip_internal, watched_body::WatchedBody,
 };
 
 /// The time within which a restart of a backend server counts as the cause of a lost connection.
@@ -140,7 +140,7 @@
         objective: delivery.objective,
         workspace: delivery.workspace.clone(),
         route: delivery.route,
-        permit: start_permit(&cx, &delivery),
+        permit: Some(start_conditions(&cx, &delivery)),
     };
     let report = CrashReport {
         fingerprint: delivery.fingerprint,
@@ -229,8 +229,14 @@
     }
 }
 
+/// What must hold when the call is sent.
+fn start_conditions(cx: &Arc<NodeContext>, delivery: &Delivery) -> Arc<dyn StartPermit> {
+    let token = token_check(cx, delivery);
+    Arc::new(StartConditions::new(cx.clone(), delivery.deadline, token))
+}
+
 /// The check of the call's token, if the call came with one.
-fn start_permit(cx: &NodeContext, delivery: &Delivery) -> Option<Arc<dyn StartPermit>> {
+fn token_check(cx: &NodeContext, delivery: &Delivery) -> Option<StartCheck> {
     let stated = delivery.token_expires?;
     // A later time is one on the clock of another boot of this VM.
     let latest = boot_time() + cx.quotas().token_lifetime();
@@ -241,8 +247,13 @@
     };
     let workspace = delivery.workspace.clone()?;
     let (quotas, view) = (cx.quotas().clone(), cx.view().clone());
-    let check = StartCheck::new(quotas, view, workspace, expires, delivery.deadline);
-    Some(Arc::new(check))
+    Some(StartCheck::new(
+        quotas,
+        view,
+        workspace,
+        expires,
+        delivery.deadline,
+    ))
 }
 
 /// Logs a call that the local backend server did not answer, with the load that a refusal was based
--- a/trefoillock-node/src/lib.rs
+++ b/trefoillock-node/src/lib.rs
@@ -38,6 +38,7 @@
 mod serve_peer;
 mod server_report;
 mod service_counts;
+mod start_conditions;
 mod stated_limits;
 mod view;
 mod watched_body;
--- a/trefoillock-roles/src/daemon.rs
+++ b/trefoillock-roles/src/daemon.rs
@@ -140,6 +140,7 @@
                 node.begin_stop(limit);
             }
             tokio::time::sleep(stop_settings.linger()).await;
+            node.refuse_calls_to_cut();
             self.context.stop_accepting.cancel();
             match stop_settings.drain_timeout() {
                 Some(drain_timeout) => {
--- a/trefoillock-roles/src/node_role.rs
+++ b/trefoillock-roles/src/node_role.rs
@@ -160,6 +160,11 @@
         self.node.begin_stop(Instant::now() + limit);
     }
 
+    /// Refuses new calls that may last longer than the stop.
+    pub(crate) fn refuse_calls_to_cut(&self) {
+        self.node.refuse_calls_to_cut();
+    }
+
     /// Waits until the calls in flight have ended. `stop_accepting` must have been cancelled
     /// before.
     pub(crate) async fn wait_until_drained(self) {
--- a/trefoillock-stand-ins/tests/stopping_destinations.rs
+++ b/trefoillock-stand-ins/tests/stopping_destinations.rs
@@ -88,3 +88,37 @@
     assert!(received(&mesh, 1) > 0, "no lookup at the stopping node");
     mesh.stop().await;
 }
+
+/// Guards against a call that waited for a slot and is begun so late in a stop that it is cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_that_waited_for_a_slot_is_not_begun_before_the_cut() {
+    let config = BackendServerConfig::new("treaty-desk", "1").expect("valid names");
+    let config = config
+        .capacity(1, 4)
+        .service_time(Duration::from_millis(600));
+    let mesh = TestMesh::start(vec![None, Some(config)]).await;
+    let mesh = mesh.expect("a mesh");
+    let patient = r#""version": "1", "policy": { "queue_ms": 5000 } }"#;
+    let tables = TABLES.replace(r#""version": "1" }"#, patient);
+    mesh.publish(1, &tables, BTreeMap::new());
+    mesh.wait_until_ready().await;
+    let entry = mesh.caller_address(0);
+    let calls = ["first", "second"].map(|id| {
+        tokio::spawn(async move {
+            let posting = CallerRequest::post("/bookings/", id.to_owned(), "{}");
+            Caller::new(HANG_GUARD).call(entry, &posting).await.outcome
+        })
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let stopping = mesh.hosts()[1].node.context().clone();
+    stopping.begin_stop(Instant::now() + Duration::from_secs(1));
+    stopping.refuse_calls_to_cut();
+    let mut outcomes = Vec::new();
+    for call in calls {
+        outcomes.push(call.await.expect("a call"));
+    }
+    outcomes.sort_by_key(|outcome| *outcome != Outcome::Answered);
+    assert_eq!(outcomes, [Outcome::Answered, Outcome::DidNotRun]);
+    assert_eq!(received(&mesh, 1), 1);
+    mesh.stop().await;
+}
