--- a/trefoillock-replica/tests/fault_matrix.rs
+++ b/trefoillock-replica/tests/fault_matrix.rs
@@ -293,3 +293,28 @@
         simulation.heal_and_check();
     }
 }
+
+/// Guards against a replica that takes no part any more after its disk was full for a while.
+#[test]
+fn disks_that_are_full_one_after_another_leave_replicas_that_commit() {
+    for seed in 0..SEEDS {
+        println!("seed {seed}");
+        let mut simulation = Simulation::new(seed, 5);
+        simulation.run(Duration::from_secs(3));
+        for round in 0..8 {
+            let leader = simulation.leader().filter(|_| round % 3 != 2);
+            let id = leader.unwrap_or_else(|| simulation.random_id());
+            // From shorter than an election to longer than one.
+            let millis = simulation.random(50..3_000);
+            simulation.inject(id, Fault::FillDisk(millis * 1_000));
+            for tick in 0..=millis / 20 {
+                simulation.advance_tick();
+                if let Some(leader) = simulation.leader().filter(|_| tick % 4 == 0) {
+                    simulation.propose(leader);
+                    simulation.read(leader);
+                }
+            }
+        }
+        simulation.check_convergence();
+    }
+}
--- a/trefoillock-replica/tests/simulation/faults.rs
+++ b/trefoillock-replica/tests/simulation/faults.rs
@@ -21,6 +21,8 @@
     CutFromLeader,
     JumpClock(i64),
     Pause,
+    /// The disk is full for a time in microseconds.
+    FillDisk(u64),
 }
 
 /// A fault to inject at one step of a replica.
@@ -84,6 +86,10 @@
                 let node = self.simulated(id);
                 node.clock_offset = (node.clock_offset + micros).max(-900_000_000);
             }
+            Fault::FillDisk(span) => {
+                let until = self.now + span;
+                self.simulated(id).disk_full_until = until;
+            }
             Fault::Pause => {
                 let until = self.now + self.rng.random_range(100_000..4_000_000);
                 self.simulated(id).paused_until = until;
--- a/trefoillock-replica/tests/simulation/mod.rs
+++ b/trefoillock-replica/tests/simulation/mod.rs
@@ -55,6 +55,8 @@
     paused_until: u64,
     /// Whether the next sync fails, which crashes the replica.
     fail_sync: bool,
+    /// The time until which the disk has no room and syncs nothing, in microseconds.
+    disk_full_until: u64,
     disk_lost: bool,
 }
 
@@ -140,6 +142,7 @@
             clock_rate: self.rng.random_range(950_000..1_050_000),
             paused_until: 0,
             fail_sync: false,
+            disk_full_until: 0,
             disk_lost: false,
         };
         self.nodes.insert(id, node);
@@ -261,6 +264,9 @@
                 self.crash(id);
                 return;
             }
+            if node.disk_full_until > now {
+                return;
+            }
             let Some(batch) = node.disk.sync(now) else {
                 return;
             };
--- a/trefoillock-replica/tests/simulation/operator.rs
+++ b/trefoillock-replica/tests/simulation/operator.rs
@@ -56,8 +56,14 @@
             let node = self.simulated(id);
             node.paused_until = 0;
             node.fail_sync = false;
+            node.disk_full_until = 0;
             self.restart(id);
         }
+        self.check_convergence();
+    }
+
+    /// Checks that the replicas agree, commit new entries and lost none.
+    pub(crate) fn check_convergence(&mut self) {
         let end = self.now + CONVERGENCE_LIMIT;
         let goal = self.commands + 3;
         while self.commands < goal || !self.agree() {
