fix(replica): wait for room when a sync finds the disk full

Operators: a control replica ended by itself when its file system reported the full disk at the sync instead of the write, as those with delayed allocation do.

Cause: only writes counted as failing for lack of room; a failed sync refused all later writes and stopped the replica.

Change: a sync that reports a full disk is retried like a write.

Measured: a_sync_that_finds_the_disk_full_is_repeated_with_its_writes and entries_before_a_snapshot_are_not_repeated_after_it fail without it, pass now; any other failure of a sync is still final.

--- a/trefoillock-replica/src/files/data_folder.rs
+++ b/trefoillock-replica/src/files/data_folder.rs
@@ -225,6 +225,10 @@
         self.log.truncate_partial_append()
     }
 
+    fn discard_unsynced(&mut self) -> Result<(), FolderError> {
+        self.log.truncate_unsynced()
+    }
+
     fn sync(&mut self) -> Result<(), FolderError> {
         self.log.sync()
     }
--- a/trefoillock-replica/src/files/error.rs
+++ b/trefoillock-replica/src/files/error.rs
@@ -59,7 +59,7 @@
 impl std::error::Error for FolderError {}
 
 impl FolderError {
-    /// Returns whether a write failed because the disk is full.
+    /// Returns whether a write or sync failed because the disk is full.
     ///
     /// Such a write can be undone and tried again without loss.
     #[must_use]
@@ -67,7 +67,7 @@
         let Self::Io { step, cause, .. } = self else {
             return false;
         };
-        let is_write = matches!(step, Step::Write);
+        let is_write = matches!(step, Step::Write | Step::Sync);
         is_write
             && matches!(
                 cause.kind(),
--- a/trefoillock-replica/src/files/log_file.rs
+++ b/trefoillock-replica/src/files/log_file.rs
@@ -112,6 +112,12 @@
             .map_err(durable::io_error(Step::Write, &self.path))
     }
 
+    /// Cuts off all entries that are not synced.
+    pub(super) fn truncate_unsynced(&mut self) -> Result<(), FolderError> {
+        self.length = self.synced_length;
+        self.truncate_partial_append()
+    }
+
     /// Syncs all appended entries.
     pub(super) fn sync(&mut self) -> Result<(), FolderError> {
         if self.synced_length < self.length {
--- a/trefoillock-replica/src/storage.rs
+++ b/trefoillock-replica/src/storage.rs
@@ -18,6 +18,13 @@
     /// Returns why the removal failed.
     fn discard_partial_write(&mut self) -> Result<(), FolderError>;
 
+    /// Removes all entries that were written since the last sync or snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the removal failed.
+    fn discard_unsynced(&mut self) -> Result<(), FolderError>;
+
     /// Syncs all writes to the disk.
     ///
     /// # Errors
@@ -39,17 +46,35 @@
     writes: &[Write],
     mut wait: impl FnMut() -> bool,
 ) -> Result<(), FolderError> {
-    for write in writes {
-        while let Err(error) = storage.write_one(write) {
-            if !error.is_full() || !wait() {
-                return Err(error);
-            }
-            while let Err(error) = storage.discard_partial_write() {
-                if !error.is_full() || !wait() {
-                    return Err(error);
+    let mut retry = |error: FolderError| {
+        if error.is_full() && wait() {
+            Ok(())
+        } else {
+            Err(error)
+        }
+    };
+    let mut first = 0;
+    loop {
+        for (at, write) in writes.iter().enumerate().skip(first) {
+            while let Err(error) = storage.write_one(write) {
+                retry(error)?;
+                while let Err(error) = storage.discard_partial_write() {
+                    retry(error)?;
                 }
             }
+            if matches!(write, Write::Snapshot { .. }) {
+                // It is durable, and the log begins anew with it.
+                first = at + 1;
+            }
+        }
+        let Err(error) = storage.sync() else {
+            return Ok(());
+        };
+        retry(error)?;
+        // The system may have dropped what it could not write, so that a second sync alone would succeed
+        // without it.
+        while let Err(error) = storage.discard_unsynced() {
+            retry(error)?;
         }
     }
-    storage.sync()
 }
