fix(node): drop calls that wait on a connection between nodes when it is given up

Cause: the entry closed the connection in order, so the kernel went on delivering the requests that it had not transmitted.

Change: connections to other nodes close with a reset, which drops them.

--- a/trefoillock-node/src/peer_clients.rs
+++ b/trefoillock-node/src/peer_clients.rs
@@ -232,6 +232,9 @@
 async fn connect(address: SocketAddr) -> io::Result<RequestSender> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
+    // When this side closes the connection, nobody waits for its calls any more. A reset drops the requests
+    // that have not been transmitted, which an orderly close would still deliver.
+    stream.set_zero_linger()?;
     let (sender, conn) = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
