fix(node): read at most 16 KiB ahead on a connection

64 KiB on each of 10,000 connections would let callers take more memory than the library's own buffers (16 to 32 KiB). docs: E1806 names the cancelled attempt beside an answered one.

--- a/trefoillock-node/src/read_ahead.rs
+++ b/trefoillock-node/src/read_ahead.rs
@@ -18,7 +18,7 @@
 };
 
 /// The largest number of bytes that are read ahead on a connection.
-const MAX_AHEAD_BYTES: usize = 64 * 1024;
+const MAX_AHEAD_BYTES: usize = 16 * 1024;
 /// The number of bytes that are read at a time.
 const READ_BYTES: usize = 4 * 1024;
 /// The pause between two checks for a close while [`MAX_AHEAD_BYTES`] are read ahead. The socket then
--- a/trefoillock-process/src/event.rs
+++ b/trefoillock-process/src/event.rs
@@ -195,9 +195,10 @@
     /// A call was sent to a local backend server and not answered in full; fields: request,
     /// workspace if there is one, server, reason, millis, part: body if the head had arrived, omitted.
     CallBroken = 1805, "call-broken", Warn;
-    /// The caller of a call disconnected before the response was complete, and the call was cancelled; fields: request,
-    /// route and attempts at the entry node, workspace if there is one, server, millis, part: head or body, which
-    /// the entry node waited for, or destination in the line of the destination node, omitted.
+    /// A call was cancelled because its caller disconnected before the response was complete, or because
+    /// another attempt was answered; fields: request, route and attempts at the entry node, workspace if there
+    /// is one, server, millis, part: head or body, which the entry node waited for, or destination in the line
+    /// of the destination node, omitted.
     CallAbandoned = 1806, "call-abandoned", Info;
     /// A call was refused because it carried no key of a workspace, and its route does not allow anonymous calls; fields:
     /// request, route, reason, key: missing, malformed or unknown, config, omitted. The key itself is never logged.
