test(review): case 6, a route whose name shares a byte with another is never served

Cause: the tag that keeps the service times of routes apart is one byte of a hash of the name; a short call that shares it with long ones is refused as too long to be in time.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+mod added_route;
 mod crashing_request;
 mod mesh;
 mod one_service;
@@ -15,6 +16,7 @@
     let (case, path) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
     let record = system::Record::create(&path);
     let verdict = match case.as_str() {
+        "added-route" => added_route::run(&record),
         "crashing-long-request" => crashing_request::run(
             &record,
             &Case { body: 300_000, between: Between::Nothing, route_type: "unsafe", sends: 9 },
