test(review): case 9, two crashes of upstreams block a path for ten minutes

Cause: a request counts as the cause of every crash during which it ran, all requests of one path count as one, and the leader's count is not cleared by answers.

--- a/review/stand-ins-2/one_service.rs
+++ b/review/stand-ins-2/one_service.rs
@@ -122,7 +122,9 @@
                 if status == "200" {
                     counts.served.fetch_add(1, Ordering::Relaxed);
                 }
-                thread::sleep(Duration::from_millis(100));
+                // Clients that pause alike would all wait for an upstream, or none, when one crashes.
+                let pause = 40 + (client * 29 + number * 17) % 120;
+                thread::sleep(Duration::from_millis(pause as u64));
             }
         }));
     }
