--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/review-cases ] || exit 2
-exec target/review-2/review-cases unrelated-crashes "review/9/record.txt"
+exec target/review-2/review-cases other-writer "review/9/record.txt"
