test(review): case 7, postings with long bodies are cut late in a planned stop

Cause: the check that a call ends before the cut is made when 64 KiB of its body have been read; the rest is streamed, and its end may come too late.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 
 mod added_route;
 mod crashing_request;
+mod late_long_body;
 mod mesh;
 mod one_service;
 mod system;
@@ -30,6 +31,7 @@
             &record,
             &Case { body: 3_000, between: Between::KillLeader, route_type: "unsafe", sends: 9 },
         ),
+        "late-long-body" => late_long_body::run(&record),
         "unrelated-crashes" => one_service::run(&record, Disruption::Crashes),
         "other-writer" => one_service::run(&record, Disruption::OtherWriter),
         other => Err(system::CannotRun(format!("there is no case {other:?}"))),
