test(review): keep every script well within 120 s

Cause: cases 9 and 10 took 100 s of the 120 s that a script may take, and a run that hung would have had no end of its own. Change: these cases play for 75 s rather than 90 s; each run ends its processes and exits with 2 after 116 s.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -16,6 +16,7 @@
     let mut args = std::env::args().skip(1);
     let (case, path) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
     let record = system::Record::create(&path);
+    system::limit_time(&record);
     let verdict = match case.as_str() {
         "added-route" => added_route::run(&record),
         "crashing-long-request" => crashing_request::run(
--- a/review/stand-ins-2/one_service.rs
+++ b/review/stand-ins-2/one_service.rs
@@ -17,7 +17,7 @@
 const WORK: Duration = Duration::from_millis(150);
 /// The times from the first request to the steps of the disruption, and to the end.
 const STEPS: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(12)];
-const END: Duration = Duration::from_secs(90);
+const END: Duration = Duration::from_secs(75);
 const UPSTREAMS: [u8; 3] = [9, 10, 11];
 const ENTRIES: [u8; 3] = [12, 13, 14];
 
--- a/review/stand-ins-2/system.rs
+++ b/review/stand-ins-2/system.rs
@@ -22,6 +22,7 @@
 }
 
 pub const SIGHUP: i32 = 1;
+const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
@@ -33,6 +34,25 @@
 pub const INBOUND: u16 = 8300;
 pub const MESH: u16 = 7620;
 
+/// The time after which a run is given up.
+const LONGEST_RUN: Duration = Duration::from_secs(116);
+
+/// The processes that were started and have not been waited for.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the run, and the processes that it started, if it takes too long.
+pub fn limit_time(record: &Record) {
+    let record = record.clone();
+    thread::spawn(move || {
+        thread::sleep(LONGEST_RUN);
+        for pid in STARTED.lock().unwrap().drain(..) {
+            // SAFETY: sends a signal to a child of this process that was not waited for.
+            unsafe { kill(pid as i32, SIGKILL) };
+        }
+        finish(&record, Err(CannotRun("the run took too long".to_owned())));
+    });
+}
+
 /// Whether the disruption is part of this run.
 pub fn with_trouble() -> bool {
     env::var("TROUBLE").map_or(true, |value| value != "0")
@@ -204,6 +224,7 @@
             .stderr(errors)
             .spawn()
             .map_err(|e| CannotRun(format!("{program}: {e}")))?;
+        STARTED.lock().unwrap().push(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -221,6 +242,7 @@
 
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            STARTED.lock().unwrap().retain(|pid| *pid != child.id());
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -228,7 +250,9 @@
 
     /// The exit status, once the process has ended by itself.
     pub fn ended(&mut self) -> Option<String> {
-        let status = self.child.as_mut()?.try_wait().ok()??;
+        let child = self.child.as_mut()?;
+        let status = child.try_wait().ok()??;
+        STARTED.lock().unwrap().retain(|pid| *pid != child.id());
         Some(status.to_string())
     }
 
